--- a/internal/callerapi/fixture_test.go
+++ b/internal/callerapi/fixture_test.go
@@ -122,7 +122,7 @@
 	}
 	exchange := peertest.NewNetwork().Join(peer.Host{ID: "h1", Incarnation: "i1", CallerAddress: "127.0.0.1:1", FailureDomain: "a"})
 	src := source{doc}
-	d := drain.New(exchange, src, logr.Discard(), time.Minute)
+	d := drain.New(exchange, drain.EntryTTL(src), logr.Discard(), time.Minute)
 	answers := entry.New(exchange, src, noDemand{}, rand.New(rand.NewPCG(1, 2)))
 	handler := filter.Compose(&authenticate.Authenticate{}, &match.Match{}, &classqueue.ClassQueue{}, &retry.Retry{}, forward.New(router{}, fake, fake))
 	s := New("h1", logr.Discard(), src, d, answers, handler)
--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sapphirehatch/sapphirehatch/internal/callergone"
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/entryapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
@@ -38,7 +39,7 @@
 		Answer:   new(fasthttp.Response),
 	}
 	conn := ctx.Conn()
-	r.CallerGone = func() bool { return closedByCaller(conn) }
+	r.CallerGone = func() bool { return callergone.Closed(conn) }
 	ctx.Request.CopyTo(r.Inbound)
 	r.Inbound.Header.SetNoDefaultContentType(true)
 	// The upstream gets the path as the caller wrote it: an escaped slash is no separator.
--- /dev/null
+++ b/internal/callergone/gone.go
@@ -0,0 +1,58 @@
+// Package callergone finds out that a caller has left while its request is worked on.
+package callergone
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+)
+
+// Closed reports whether the caller has closed a connection or its
+// sending half. It asks the kernel without waiting and takes no bytes.
+// Connections without a file descriptor count as open.
+func Closed(conn net.Conn) bool {
+	sys, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var n int
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return true
+	}
+	return n == 0 && peekErr != syscall.EAGAIN && peekErr != syscall.EWOULDBLOCK
+}
+
+// watchInterval is how often a watched connection is looked at.
+const watchInterval = 100 * time.Millisecond
+
+// Watch returns a context that ends when the caller closes its connection. Call
+// stop when the request has ended.
+func Watch(ctx context.Context, conn net.Conn) (watched context.Context, stop context.CancelFunc) {
+	watched, stop = context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(watchInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				if Closed(conn) {
+					stop()
+					return
+				}
+			case <-watched.Done():
+				return
+			}
+		}
+	}()
+	return watched, stop
+}
--- a/internal/callerapi/gone_test.go
+++ b/internal/callergone/gone_test.go
@@ -1,4 +1,4 @@
-package callerapi
+package callergone
 
 import (
 	"net"
@@ -20,19 +20,19 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if closedByCaller(conn) {
+	if Closed(conn) {
 		t.Error("an open connection counts as closed")
 	}
 	if _, err := caller.Write([]byte("next")); err != nil {
 		t.Fatal(err)
 	}
 	one := make([]byte, 4)
-	if _, err := conn.Read(one); err != nil || closedByCaller(conn) {
+	if _, err := conn.Read(one); err != nil || Closed(conn) {
 		t.Errorf("a connection in use counts as closed, %v", err)
 	}
 	_ = caller.Close()
 	// Reading to the end waits for the close to arrive; it stays visible after.
-	if n, _ := conn.Read(one); n != 0 || !closedByCaller(conn) {
+	if n, _ := conn.Read(one); n != 0 || !Closed(conn) {
 		t.Error("a closed connection counts as open")
 	}
 }
--- a/internal/command/logger.go
+++ b/internal/command/logger.go
@@ -11,11 +11,25 @@
 
 // newLogger returns a logger that writes one line of key=value pairs for each event.
 func newLogger(w io.Writer, level string) (logr.Logger, error) {
+	return newLeveledLogger(w, level, new(slog.LevelVar))
+}
+
+// newLeveledLogger is newLogger with a level that may be changed later.
+func newLeveledLogger(w io.Writer, name string, level *slog.LevelVar) (logr.Logger, error) {
+	if err := setLevel(level, name); err != nil {
+		return logr.Discard(), err
+	}
+	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})), nil
+}
+
+// setLevel sets a level by its name in the settings.
+func setLevel(level *slog.LevelVar, name string) error {
 	levels := map[string]slog.Level{"error": slog.LevelError, "info": slog.LevelInfo, "debug": slog.LevelDebug}
-	l, ok := levels[level]
+	l, ok := levels[name]
 	if !ok {
-		return logr.Discard(), failure.New(failure.InvalidSettings, "", "log level %q is not known", level).
+		return failure.New(failure.InvalidSettings, "", "log level %q is not known", name).
 			WithField("log.level").WithLimit("error, info or debug")
 	}
-	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l})), nil
+	level.Set(l)
+	return nil
 }
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -2,21 +2,29 @@
 
 import (
 	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/samber/do/v2"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/duty"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
+	"github.com/sapphirehatch/sapphirehatch/platform"
 )
 
 // serveCommand runs an entry host.
 type serveCommand struct {
-	Settings string `help:"Path of the host's INI settings file." required:"" type:"existingfile"`
+	Settings string `help:"Path of the host's INI settings file." required:"" type:"existingfile" env:"SAPPHIREHATCH_BOOT"`
 }
 
 // Run serves until ctx ends, then stops without cutting off a request.
 func (c *serveCommand) Run(ctx context.Context, out *streams) error {
+	if settings.UsesRows(c.Settings) {
+		return runRowsHost(ctx, c.Settings, out)
+	}
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -28,6 +36,53 @@
 	return runHost(ctx, s, log)
 }
 
+// runRowsHost runs an entry host on a platform with a row service. SIGHUP makes
+// it read its settings again.
+func runRowsHost(ctx context.Context, path string, out *streams) error {
+	s, err := settings.LoadRows(path)
+	if err != nil {
+		return err
+	}
+	level := new(slog.LevelVar)
+	log, err := newLeveledLogger(out.Out, s.Log.Level, level)
+	if err != nil {
+		return err
+	}
+	group, err := platform.NewHost(s, log)
+	if err != nil {
+		return err
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go reloadAt(ctx, hangups, path, s, level, log)
+	log.Info("host starts", "host", s.Host.ID, "domain", s.Host.FailureDomain, "address", s.Host.CallerAddress)
+	err = group.Run(ctx)
+	log.Info("host stops")
+	return err
+}
+
+// reloadAt applies the settings that may change while a host runs, at each signal.
+func reloadAt(ctx context.Context, signals <-chan os.Signal, path string, current *settings.Rows, level *slog.LevelVar, log logr.Logger) {
+	for {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return
+		}
+		next, err := settings.LoadRows(path)
+		if err == nil {
+			err = setLevel(level, next.Log.Level)
+		}
+		if err != nil {
+			log.Error(err, "settings not reloaded, the ones in force stay")
+			continue
+		}
+		restart := next.Host != current.Host || next.Platform != current.Platform || next.Timing != current.Timing || next.Swap != current.Swap
+		log.Info("settings reloaded", "level", next.Log.Level, "others_wait_for_restart", restart)
+	}
+}
+
 // runHost runs an entry host until ctx ends.
 func runHost(ctx context.Context, s *settings.Settings, log logr.Logger) error {
 	injector, err := newHost(s, log)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -6,18 +6,15 @@
 	"time"
 
 	"github.com/go-logr/logr"
-
-	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
-	"github.com/sapphirehatch/sapphirehatch/internal/entryapi"
-	"github.com/sapphirehatch/sapphirehatch/internal/peer"
 )
 
-const (
-	// acceptMargin is how much longer than the entry answer's time to live a stopping host accepts requests.
-	acceptMargin = time.Second
-	// defaultTTL is used while no document is known.
-	defaultTTL = 5 * time.Second
-)
+// acceptMargin is how much longer than the entry answer's time to live a stopping host accepts requests.
+const acceptMargin = time.Second
+
+// Announcer tells the other hosts that this host is stopping.
+type Announcer interface {
+	SetDraining()
+}
 
 // phase is how far the stop has come.
 type phase int
@@ -32,8 +29,9 @@
 
 // Drain counts the requests in flight and runs the stop.
 type Drain struct {
-	exchange peer.Exchange
-	source   deployment.Source
+	announcer Announcer
+	// entryTTL is how long callers may keep an entry answer.
+	entryTTL func() time.Duration
 	log      logr.Logger
 	grace    time.Duration
 
@@ -44,8 +42,8 @@
 }
 
 // New returns a Drain whose stop waits up to grace for requests in flight.
-func New(exchange peer.Exchange, source deployment.Source, log logr.Logger, grace time.Duration) *Drain {
-	return &Drain{exchange: exchange, source: source, log: log, grace: grace, idle: make(chan struct{}, 1)}
+func New(announcer Announcer, entryTTL func() time.Duration, log logr.Logger, grace time.Duration) *Drain {
+	return &Drain{announcer: announcer, entryTTL: entryTTL, log: log, grace: grace, idle: make(chan struct{}, 1)}
 }
 
 // Begin counts a request in. It returns false once new requests are refused.
@@ -92,7 +90,7 @@
 func (d *Drain) Stop() time.Duration {
 	ttl := d.entryTTL()
 	d.setPhase(announced)
-	d.exchange.SetDraining()
+	d.announcer.SetDraining()
 	d.log.Info("host is draining", "accepts_for", ttl+acceptMargin)
 	time.Sleep(ttl + acceptMargin)
 	d.setPhase(closed)
@@ -121,10 +119,3 @@
 	}
 	return 0
 }
-
-func (d *Drain) entryTTL() time.Duration {
-	if doc := d.source.Current(); doc != nil {
-		return min(doc.Deployment.EntryTTL, entryapi.MaxTTL)
-	}
-	return defaultTTL
-}
--- a/internal/drain/provide.go
+++ b/internal/drain/provide.go
@@ -1,14 +1,30 @@
 package drain
 
 import (
+	"time"
+
 	"github.com/go-logr/logr"
 	"github.com/samber/do/v2"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
+	"github.com/sapphirehatch/sapphirehatch/internal/entryapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/peer"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
 )
 
+// defaultTTL is used while no document is known.
+const defaultTTL = 5 * time.Second
+
+// EntryTTL reads how long callers may keep an entry answer from the document in force.
+func EntryTTL(source deployment.Source) func() time.Duration {
+	return func() time.Duration {
+		if doc := source.Current(); doc != nil {
+			return min(doc.Deployment.EntryTTL, entryapi.MaxTTL)
+		}
+		return defaultTTL
+	}
+}
+
 // Provide registers the *Drain.
 func Provide(i do.Injector) {
 	do.Provide(i, func(i do.Injector) (*Drain, error) {
@@ -21,6 +37,6 @@
 			return nil, err
 		}
 		s := do.MustInvoke[*settings.Settings](i)
-		return New(exchange, source, do.MustInvoke[logr.Logger](i), s.Timing.StopGrace), nil
+		return New(exchange, EntryTTL(source), do.MustInvoke[logr.Logger](i), s.Timing.StopGrace), nil
 	})
 }
--- a/internal/failure/errors.go
+++ b/internal/failure/errors.go
@@ -48,6 +48,7 @@
 	OutcomeUnknown      Kind = "outcome_unknown"
 	StoreUnavailable    Kind = "store_unavailable"
 	StoreInDoubt        Kind = "store_in_doubt"
+	HistoryLost         Kind = "history_lost"
 	NotReady            Kind = "not_ready"
 	Draining            Kind = "draining"
 	Isolated            Kind = "isolated"
@@ -80,6 +81,7 @@
 	OutcomeUnknown:      http.StatusBadGateway,
 	StoreUnavailable:    http.StatusServiceUnavailable,
 	StoreInDoubt:        http.StatusServiceUnavailable,
+	HistoryLost:         http.StatusGone,
 	NotReady:            http.StatusServiceUnavailable,
 	Draining:            http.StatusServiceUnavailable,
 	Isolated:            http.StatusServiceUnavailable,
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,372 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/placement"
+)
+
+const (
+	// missingGrace is how long a replica that vanished from discovery without
+	// having announced its leave may be used where no other is left. Entries
+	// that lapsed while the store was away come back within two seconds, and a
+	// replica that left may be asked until two seconds after its entry went.
+	missingGrace = 1200 * time.Millisecond
+	// refusalPause is how long a replica that refused is left alone.
+	refusalPause = 150 * time.Millisecond
+	// failurePause is how long a replica is left alone after a failure; it
+	// doubles with each further one up to longestPause.
+	failurePause = 300 * time.Millisecond
+	longestPause = 4 * time.Second
+	// loadTerm is the age at which a reported load counts about a third.
+	loadTerm = 700 * time.Millisecond
+	// paceWeight is the weight of a new measurement in a replica's pace.
+	paceWeight = 0.25
+	// paceTerm is how long a pace is believed.
+	paceTerm = 8 * time.Second
+)
+
+// Replica is a replica as discovery shows it.
+type Replica struct {
+	ID      string
+	Service string
+	// Address is ip:port.
+	Address string
+	Domain  string
+	// Born tells two starts under one ID apart.
+	Born     int64
+	Slots    int
+	Draining bool
+	// Models are the versions of the weights by model.
+	Models map[string]uint64
+}
+
+type member struct {
+	Replica
+	missingSince time.Time
+	inFlight     int
+	failures     int
+	retryAt      time.Time
+	// refusedUntil is when a model may be asked for again.
+	refusedUntil map[string]time.Time
+	// seen are versions that answers showed since the last entry of discovery.
+	seen map[string]uint64
+
+	// others is what the last load report showed beyond this host's requests.
+	others   float64
+	othersAt time.Time
+
+	pace   float64
+	paceAt time.Time
+}
+
+// Fleet is the set of replicas. It may be used by many goroutines.
+type Fleet struct {
+	log logr.Logger
+
+	mu      sync.Mutex
+	members map[string]*member
+	changed chan struct{}
+}
+
+// New returns an empty fleet.
+func New(log logr.Logger) *Fleet {
+	return &Fleet{log: log, members: map[string]*member{}, changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed when a place becomes free or a replica changes.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// signal wakes those that wait for a change. The caller holds mu.
+func (f *Fleet) signal() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Put takes a replica's entry of discovery.
+func (f *Fleet) Put(r Replica) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.members[r.ID]
+	if old == nil || old.Born != r.Born || old.Address != r.Address {
+		f.members[r.ID] = &member{Replica: r, refusedUntil: map[string]time.Time{}, seen: map[string]uint64{}}
+		f.log.Info("replica seen", "replica", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining)
+		f.signal()
+		return
+	}
+	if old.Draining != r.Draining {
+		f.log.Info("replica changed", "replica", r.ID, "draining", r.Draining)
+	}
+	for model, version := range old.Models {
+		if r.Models[model] < version {
+			// The entry is older than what was known already.
+			r.Models[model] = version
+		}
+	}
+	old.Replica = r
+	old.missingSince = time.Time{}
+	f.signal()
+}
+
+// Remove takes in that a replica vanished from discovery.
+func (f *Fleet) Remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	if m == nil || !m.missingSince.IsZero() {
+		return
+	}
+	f.log.Info("replica gone", "replica", id, "draining", m.Draining)
+	m.missingSince = time.Now()
+	f.signal()
+}
+
+// gone reports whether a member may not be used any more.
+func (m *member) gone(now time.Time) bool {
+	return !m.missingSince.IsZero() && (m.Draining || now.Sub(m.missingSince) > missingGrace)
+}
+
+// Sweep forgets replicas that are gone.
+func (f *Fleet) Sweep() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for id, m := range f.members {
+		if m.gone(now) && m.inFlight == 0 {
+			delete(f.members, id)
+		}
+	}
+}
+
+// Get returns a replica that may be used.
+func (f *Fleet) Get(id string) (Replica, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	if m == nil || m.gone(time.Now()) {
+		return Replica{}, false
+	}
+	return m.copy(), true
+}
+
+// List returns the replicas of a service, or of all services if it is empty, in the order of their ids.
+func (f *Fleet) List(service string) []Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var all []Replica
+	for _, m := range f.members {
+		if (service == "" || m.Service == service) && !m.gone(now) {
+			all = append(all, m.copy())
+		}
+	}
+	slices.SortFunc(all, func(a, b Replica) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func (m *member) copy() Replica {
+	r := m.Replica
+	r.Models = make(map[string]uint64, len(m.Models))
+	for model, version := range m.Models {
+		r.Models[model] = max(version, m.seen[model])
+	}
+	return r
+}
+
+// Want is what a request needs of a replica.
+type Want struct {
+	Service string
+	// Model is the model that generates; empty for plain services.
+	Model string
+	placement.Request
+}
+
+// Reserve chooses a replica and counts a request there. The error is of kind
+// NoUpstream if the service has no replica that may be used, and QueueFull if
+// none has a place now.
+func (f *Fleet) Reserve(want Want) (Replica, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	members, replicas := f.candidates(want, now)
+	if len(members) == 0 {
+		return Replica{}, failure.New(failure.NoUpstream, failure.NotRun, "service %s has no replica", want.Service)
+	}
+	chosen := placement.Choose(want.Request, replicas, now)
+	if chosen < 0 {
+		return Replica{}, failure.New(failure.QueueFull, failure.NotRun, "no replica of service %s has a place", want.Service)
+	}
+	members[chosen].inFlight++
+	return members[chosen].copy(), nil
+}
+
+// candidates returns the replicas of a service in random order, so that hosts with the same knowledge spread.
+func (f *Fleet) candidates(want Want, now time.Time) ([]*member, []placement.Replica) {
+	var members []*member
+	for _, m := range f.members {
+		if m.Service == want.Service && !m.gone(now) {
+			members = append(members, m)
+		}
+	}
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	usual := usualPace(members, now)
+	replicas := make([]placement.Replica, len(members))
+	for i, m := range members {
+		replicas[i] = m.view(want.Model, usual, now)
+	}
+	return members, replicas
+}
+
+// usualPace is the median of the known paces; zero if none is known.
+func usualPace(members []*member, now time.Time) float64 {
+	var paces []float64
+	for _, m := range members {
+		if m.pace > 0 && now.Sub(m.paceAt) < paceTerm {
+			paces = append(paces, m.pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
+func (m *member) view(model string, usual float64, now time.Time) placement.Replica {
+	v := placement.Replica{
+		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, Others: m.othersNow(now),
+		Draining: m.Draining, Missing: !m.missingSince.IsZero(), RetryAt: m.retryAt, Pace: 1,
+		Version: max(m.Models[model], m.seen[model]),
+	}
+	if until := m.refusedUntil[model]; until.After(v.RetryAt) {
+		v.RetryAt = until
+	}
+	if usual > 0 && m.pace > 0 && now.Sub(m.paceAt) < paceTerm {
+		v.Pace = m.pace / usual
+	}
+	return v
+}
+
+func (m *member) othersNow(now time.Time) float64 {
+	if m.othersAt.IsZero() {
+		return 0
+	}
+	return m.others * math.Exp(-float64(now.Sub(m.othersAt))/float64(loadTerm))
+}
+
+// Release takes a reserved request off a replica.
+func (f *Fleet) Release(id string) {
+	f.with(id, func(m *member) { m.inFlight = max(0, m.inFlight-1) })
+}
+
+// with changes a member, if it is still known.
+func (f *Fleet) with(id string, change func(m *member)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil {
+		change(m)
+		f.signal()
+	}
+}
+
+// Succeeded records a whole answer.
+func (f *Fleet) Succeeded(id string) {
+	f.with(id, func(m *member) { m.failures, m.retryAt = 0, time.Time{} })
+}
+
+// Refused records that a replica did not run a request; model is empty for plain services.
+func (f *Fleet) Refused(id, model string) {
+	f.with(id, func(m *member) {
+		until := time.Now().Add(refusalPause)
+		if model == "" {
+			m.retryAt = until
+			return
+		}
+		m.refusedUntil[model] = until
+	})
+}
+
+// Pause keeps a model's new requests from a replica for a while, as when it is about to load weights.
+func (f *Fleet) Pause(id, model string, d time.Duration) {
+	f.with(id, func(m *member) { m.refusedUntil[model] = time.Now().Add(d) })
+}
+
+// Failed records that a replica broke off, could not be reached or was silent.
+func (f *Fleet) Failed(id string) {
+	f.with(id, func(m *member) {
+		m.failures++
+		m.retryAt = time.Now().Add(min(longestPause, failurePause<<min(m.failures-1, 8)))
+	})
+}
+
+// Loaded records a load report: requests that ran and waited, and the slots.
+func (f *Fleet) Loaded(id string, running, waiting, slots int) {
+	f.with(id, func(m *member) {
+		m.others, m.othersAt = max(0, float64(running+waiting-m.inFlight)), time.Now()
+		if slots > 0 && m.Slots == 0 {
+			m.Slots = slots
+		}
+	})
+}
+
+// Paced records the time that a replica took for a comparable piece of work.
+func (f *Fleet) Paced(id string, took time.Duration) {
+	f.with(id, func(m *member) {
+		now := time.Now()
+		if m.pace <= 0 || now.Sub(m.paceAt) > paceTerm {
+			m.pace = took.Seconds()
+		} else {
+			m.pace += paceWeight * (took.Seconds() - m.pace)
+		}
+		m.paceAt = now
+	})
+}
+
+// Pace returns how much longer than its peers a replica takes; 1 is usual.
+func (f *Fleet) Pace(id string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	if m == nil {
+		return 1
+	}
+	now := time.Now()
+	members, _ := f.candidates(Want{Service: m.Service}, now)
+	return m.view("", usualPace(members, now), now).Pace
+}
+
+// Versioned records the version of a model that an answer showed.
+func (f *Fleet) Versioned(id, model string, version uint64) {
+	f.with(id, func(m *member) { m.seen[model] = max(m.seen[model], version) })
+}
+
+// Free returns the free places of a service, as far as this host knows, and all of its places.
+func (f *Fleet) Free(service string) (free, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, m := range f.members {
+		if m.Service != service || m.gone(now) || m.Draining {
+			continue
+		}
+		all += m.Slots
+		free += max(0, m.Slots-m.inFlight-int(math.Ceil(m.othersNow(now))))
+	}
+	return free, all
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/placement"
+	"github.com/sapphirehatch/sapphirehatch/internal/routes"
+)
+
+// Exchanger sends one request to one replica and reads the whole answer.
+type Exchanger interface {
+	// Exchange makes one attempt within ctx. Errors are *failure.Error: QueueFull
+	// with outcome NotRun if the replica said that it did not run the request,
+	// UpstreamUnreachable with outcome NotRun if no byte was sent, and outcome
+	// Unknown otherwise. once asks for a request that can't be repeated.
+	Exchange(ctx context.Context, target fleet.Replica, req *fasthttp.Request, resp *fasthttp.Response, once bool) error
+}
+
+// Gateway forwards requests.
+type Gateway struct {
+	fleet     *fleet.Fleet
+	exchanger Exchanger
+	domain    string
+	log       logr.Logger
+}
+
+// New returns a gateway of a host in a failure domain.
+func New(f *fleet.Fleet, exchanger Exchanger, domain string, log logr.Logger) *Gateway {
+	return &Gateway{fleet: f, exchanger: exchanger, domain: domain, log: log}
+}
+
+// Call is one request.
+type Call struct {
+	// ID names the request in logs.
+	ID      string
+	Route   *routes.Route
+	Request *fasthttp.Request
+	// Deadline is when the caller's wait ends.
+	Deadline time.Time
+}
+
+// outcome is what one attempt brought.
+type outcome struct {
+	target fleet.Replica
+	resp   *fasthttp.Response
+	err    error
+	took   time.Duration
+}
+
+// forward is one call on its way.
+type forward struct {
+	*Gateway
+	call    Call
+	service string
+	avoid   map[string]bool
+	sent    int
+	flying  int
+	ends    chan outcome
+	// unknown is true once a replica may have run the request.
+	unknown bool
+	// last is the latest answer with a failure of a replica's own.
+	last *fasthttp.Response
+	err  error
+}
+
+// Handle forwards a request and fills resp with a replica's answer. The error is
+// a *failure.Error with outcome NotRun only if no replica ran the request or will.
+func (g *Gateway) Handle(ctx context.Context, call Call, resp *fasthttp.Response) error {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-answerMargin))
+	defer cancel()
+	f := &forward{
+		Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), avoid: map[string]bool{},
+		ends: make(chan outcome, max(1, call.Route.MaxAttempts)+1),
+	}
+	answer, err := f.run(ctx)
+	if err != nil {
+		e := failure.As(err)
+		g.log.Info("request failed", "id", call.ID, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
+			"outcome", e.Outcome, "sent", f.sent, "retry_after", e.RetryAfter, "error", e.Error())
+		return e
+	}
+	answer.CopyTo(resp)
+	fasthttp.ReleaseResponse(answer)
+	return nil
+}
+
+// run sends attempts until one brings an answer.
+func (f *forward) run(ctx context.Context) (*fasthttp.Response, error) {
+	giveUp := time.Now().Add(placeWait(f.call.Route))
+	for {
+		if f.flying == 0 && !f.next(ctx) {
+			if f.done() {
+				return f.result(ctx)
+			}
+			if !f.waitForPlace(ctx, giveUp) {
+				return f.result(ctx)
+			}
+			continue
+		}
+		if answer := f.await(ctx); answer != nil {
+			return answer, nil
+		}
+		if ctx.Err() != nil {
+			return f.result(ctx)
+		}
+	}
+}
+
+// done reports whether no further attempt is allowed.
+func (f *forward) done() bool {
+	if f.sent == 0 {
+		return false
+	}
+	return f.sent >= max(1, f.call.Route.MaxAttempts) || f.unknown && f.call.Route.Kind != routes.Idempotent
+}
+
+// next starts an attempt; it reports false if none is allowed or possible now.
+func (f *forward) next(ctx context.Context) bool {
+	if f.done() {
+		return false
+	}
+	want := fleet.Want{Service: f.service, Request: placement.Request{Domain: f.domain, Avoid: f.avoid, Queue: true}}
+	target, err := f.fleet.Reserve(want)
+	if err != nil {
+		f.err = err
+		return false
+	}
+	f.sent++
+	f.flying++
+	f.avoid[target.ID] = true
+	req := fasthttp.AcquireRequest()
+	f.call.Request.CopyTo(req)
+	go func() {
+		defer fasthttp.ReleaseRequest(req)
+		resp := fasthttp.AcquireResponse()
+		began := time.Now()
+		err := f.exchanger.Exchange(ctx, target, req, resp, f.call.Route.Kind != routes.Idempotent)
+		f.fleet.Release(target.ID)
+		f.ends <- outcome{target: target, resp: resp, err: err, took: time.Since(began)}
+	}()
+	return true
+}
+
+// await waits for an end of an attempt, or until another replica should be asked
+// too. It returns the answer to give, or nil.
+func (f *forward) await(ctx context.Context) *fasthttp.Response {
+	var hedge <-chan time.Time
+	if wait := patience(f.call.Route, f.sent); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	select {
+	case end := <-f.ends:
+		return f.take(ctx, end)
+	case <-hedge:
+		if f.next(ctx) {
+			f.log.V(1).Info("second replica asked", "id", f.call.ID, "sent", f.sent)
+		}
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// take judges the end of an attempt.
+func (f *forward) take(ctx context.Context, end outcome) *fasthttp.Response {
+	f.flying--
+	if end.err == nil {
+		f.fleet.Succeeded(end.target.ID)
+		f.fleet.Paced(end.target.ID, end.took)
+		f.unknown = true
+		if end.resp.StatusCode() < fasthttp.StatusInternalServerError || f.done() && f.flying == 0 {
+			return end.resp
+		}
+		f.last = end.resp
+		f.log.V(1).Info("replica answered with a failure", "id", f.call.ID, "replica", end.target.ID, "status", end.resp.StatusCode())
+		return nil
+	}
+	f.err = end.err
+	e := failure.As(end.err)
+	f.log.V(1).Info("attempt failed", "id", f.call.ID, "replica", end.target.ID, "kind", e.Kind, "outcome", e.Outcome, "took", end.took, "error", e.Error())
+	switch {
+	case ctx.Err() != nil:
+		f.unknown = f.unknown || e.Outcome != failure.NotRun
+	case e.Kind == failure.QueueFull:
+		// The replica did not run it, so the attempt does not count.
+		f.sent--
+		f.fleet.Refused(end.target.ID, "")
+	case e.Outcome == failure.NotRun:
+		f.sent--
+		f.fleet.Failed(end.target.ID)
+	default:
+		f.unknown = true
+		f.fleet.Failed(end.target.ID)
+	}
+	return nil
+}
+
+// waitForPlace waits for a change among the replicas; it reports false if the wait is over.
+func (f *forward) waitForPlace(ctx context.Context, giveUp time.Time) bool {
+	left := time.Until(giveUp)
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(min(left, 25*time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// result is the end of a call that brought no success.
+func (f *forward) result(ctx context.Context) (*fasthttp.Response, error) {
+	switch {
+	case f.last != nil:
+		return f.last, nil
+	case f.flying > 0 || f.unknown:
+		kind := failure.UpstreamFailed
+		if ctx.Err() != nil {
+			kind = failure.DeadlineExceeded
+		}
+		return nil, failure.Wrap(errOr(f.err, ctx), kind, failure.Unknown, "no replica of %s answered", f.service)
+	}
+	return nil, failure.Wrap(errOr(f.err, ctx), failure.QueueFull, failure.NotRun, "no replica of %s took the request", f.service).WithRetryAfter(retrySoon)
+}
+
+func errOr(err error, ctx context.Context) error {
+	if err != nil {
+		return err
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/job/manager.go
@@ -0,0 +1,411 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+)
+
+const (
+	// reconcileInterval is how often a host looks for jobs without a live owner.
+	reconcileInterval = 100 * time.Millisecond
+	// rankStep is how much longer each next host waits before it takes a job over.
+	rankStep = 400 * time.Millisecond
+	// settlePause is the wait between two tries to settle a write that is in doubt.
+	settlePause = 60 * time.Millisecond
+)
+
+// known is what a host knows of one job through the feed.
+type known struct {
+	owner   Owner
+	version uint64
+	ended   bool
+	// orphanSince is when this host first found the owner dead; zero while it lives.
+	orphanSince time.Time
+}
+
+// Manager accepts jobs, runs those that this host owns and takes over those
+// whose owner died. It is a sink of the follower of TableJobs.
+type Manager struct {
+	host        string
+	incarnation string
+	ownDomain   string
+	store       store
+	hosts       Hosts
+	rules       Rules
+	fleet       *fleet.Fleet
+	engine      Engine
+	scorer      Scorer
+	log         logr.Logger
+
+	mu      sync.Mutex
+	jobs    map[string]*known
+	runs    map[string]*run
+	caught  time.Time
+	leaving bool
+	changed chan struct{}
+
+	wake     chan struct{}
+	dispatch chan struct{}
+	waits    sync.WaitGroup
+	ctx      context.Context
+	stop     context.CancelFunc
+}
+
+// Config are the parts that a Manager works with.
+type Config struct {
+	// Host and Incarnation name this process.
+	Host, Incarnation string
+	// Domain is this host's failure domain.
+	Domain string
+	Rows   platform.Rows
+	Hosts  Hosts
+	Rules  Rules
+	Fleet  *fleet.Fleet
+	Engine Engine
+	Scorer Scorer
+	Log    logr.Logger
+}
+
+// NewManager returns a manager; Run makes it work.
+func NewManager(c Config) *Manager {
+	m := &Manager{
+		host: c.Host, incarnation: c.Incarnation, ownDomain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
+		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log,
+		jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
+		wake: make(chan struct{}, 1), dispatch: make(chan struct{}, 1),
+	}
+	m.ctx, m.stop = context.WithCancel(context.Background())
+	return m
+}
+
+// Changed implements follow.Sink.
+func (m *Manager) Changed(row platform.VersionedRow) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if row.Deleted {
+		if row.Key == keyOwner {
+			delete(m.jobs, row.Part)
+		}
+		return
+	}
+	k := m.jobs[row.Part]
+	if k == nil {
+		k = &known{}
+		m.jobs[row.Part] = k
+	}
+	switch row.Key {
+	case keyEnd:
+		k.ended = true
+		if r := m.runs[row.Part]; r != nil {
+			r.end("ended by its trainer")
+		}
+	case keyOwner:
+		var owner Owner
+		if err := json.Unmarshal(row.Value, &owner); err != nil {
+			m.log.Info("owner row can't be read", "job", row.Part, "version", row.Version)
+			return
+		}
+		m.learn(row.Part, owner, row.Version)
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// learn takes an owner row that is newer than the one known. The caller holds mu.
+func (m *Manager) learn(job string, owner Owner, version uint64) {
+	k := m.jobs[job]
+	if k == nil {
+		k = &known{}
+		m.jobs[job] = k
+	}
+	if version <= k.version {
+		return
+	}
+	if k.owner.Host != owner.Host || k.owner.Incarnation != owner.Incarnation {
+		k.orphanSince = time.Time{}
+	}
+	k.owner, k.version = owner, version
+	if r := m.runs[job]; r != nil && !m.owns(owner) {
+		r.lose("the feed shows another owner", version)
+	}
+}
+
+func (m *Manager) owns(owner Owner) bool {
+	return owner.Host == m.host && owner.Incarnation == m.incarnation
+}
+
+// Caught implements follow.Sink.
+func (m *Manager) Caught(_ time.Duration, asked time.Time) {
+	m.mu.Lock()
+	m.caught = asked
+	m.mu.Unlock()
+	poke(m.wake)
+}
+
+func poke(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes over jobs and places rollouts until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	m.waits.Go(func() { m.placeRollouts(ctx) })
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		m.Reconcile(ctx)
+		select {
+		case <-ticker.C:
+		case <-m.wake:
+		case <-ctx.Done():
+			m.stop()
+			m.waits.Wait()
+			return nil
+		}
+	}
+}
+
+// Reconcile starts what this host owns and takes over what nobody runs.
+func (m *Manager) Reconcile(ctx context.Context) {
+	m.mu.Lock()
+	if m.caught.IsZero() || m.leaving {
+		m.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	var adopt, orphans []string
+	for id, k := range m.jobs {
+		if k.version == 0 || k.ended || k.owner.Listed >= k.owner.Total || m.runs[id] != nil {
+			continue
+		}
+		switch {
+		case m.owns(k.owner):
+			adopt = append(adopt, id)
+		case k.owner.Host != "" && m.hosts.Alive(k.owner.Host, k.owner.Incarnation):
+			k.orphanSince = time.Time{}
+		default:
+			if k.orphanSince.IsZero() {
+				k.orphanSince = now
+			}
+			if now.Sub(k.orphanSince) >= time.Duration(m.hosts.Rank(id, m.host))*rankStep {
+				orphans = append(orphans, id)
+			}
+		}
+	}
+	m.mu.Unlock()
+	for _, id := range adopt {
+		m.adopt(id)
+	}
+	for _, id := range orphans {
+		m.waits.Go(func() { m.takeOver(ctx, id) })
+	}
+}
+
+// adopt runs a job that this host owns, as after an acceptance whose answer was lost.
+func (m *Manager) adopt(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.jobs[id]; k != nil && m.runs[id] == nil {
+		m.start(id, nil, k.owner, k.version)
+	}
+}
+
+// takeOver makes this host the owner of a job whose owner is dead or gave it up.
+func (m *Manager) takeOver(ctx context.Context, id string) {
+	m.mu.Lock()
+	k := m.jobs[id]
+	if k == nil || m.runs[id] != nil || m.owns(k.owner) {
+		m.mu.Unlock()
+		return
+	}
+	// Until the try has ended, the job counts as looked after.
+	k.orphanSince = time.Now()
+	owner, version := k.owner, k.version
+	m.mu.Unlock()
+	before := owner.Host + "/" + owner.Incarnation
+	owner.Host, owner.Incarnation = m.host, m.incarnation
+	write, err := ownerWrite(id, owner)
+	if err != nil {
+		m.log.Error(err, "job can't be taken over", "job", id)
+		return
+	}
+	receipt, err := m.store.rows.Commit(ctx, platform.RowTransaction{
+		Checks: []platform.RowCheck{{RowID: ownerID(id), Version: version}},
+		Writes: []platform.RowWrite{write},
+	})
+	if err != nil {
+		m.log.Info("job not taken over", "job", id, "owner", before, "version", version, "error", err.Error())
+		return
+	}
+	m.log.Info("job taken over", "job", id, "from", before, "version", receipt.Version, "listed", owner.Listed, "total", owner.Total)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.learn(id, owner, receipt.Version)
+	if m.runs[id] == nil && !m.leaving && m.jobs[id].version == receipt.Version {
+		m.start(id, nil, owner, receipt.Version)
+	}
+}
+
+// start runs a job. The caller holds mu. spec may be nil; then it is read first.
+func (m *Manager) start(id string, spec *Spec, owner Owner, version uint64) {
+	r := newRun(m, id, spec, owner, version)
+	// A stopping host only hands over what it has accepted.
+	r.isLeft = m.leaving
+	m.runs[id] = r
+	m.waits.Go(func() {
+		r.loop()
+		m.mu.Lock()
+		if m.runs[id] == r {
+			delete(m.runs, id)
+		}
+		m.mu.Unlock()
+	})
+}
+
+// Accept makes a job durable and starts it. A job that was accepted before is
+// accepted again. The error is of kind StoreUnavailable with outcome NotRun if
+// the job surely was not kept and never will be, and StoreInDoubt otherwise.
+func (m *Manager) Accept(ctx context.Context, spec *Spec) error {
+	m.mu.Lock()
+	k := m.jobs[spec.ID]
+	m.mu.Unlock()
+	if k != nil && k.version > 0 {
+		m.log.Info("job accepted before", "job", spec.ID, "version", k.version)
+		return nil
+	}
+	owner := Owner{
+		Host: m.host, Incarnation: m.incarnation, AcceptedMS: m.clock().Milliseconds(),
+		Total: len(spec.Rollouts), Model: spec.Model, Step: spec.Step,
+	}
+	txs, err := acceptance(spec, owner)
+	if err != nil {
+		return err
+	}
+	for _, tx := range txs[:len(txs)-1] {
+		if _, err := m.store.rows.Commit(ctx, tx); err != nil {
+			return failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "job %s was not kept", spec.ID)
+		}
+	}
+	last := txs[len(txs)-1]
+	owner.Chunks = len(last.Writes) - 1
+	for _, tx := range txs[:len(txs)-1] {
+		owner.Chunks += len(tx.Writes)
+	}
+	receipt, err := m.settle(ctx, spec.ID, last)
+	if failure.IsKind(err, failure.Conflict) {
+		m.log.Info("job accepted before", "job", spec.ID)
+		return nil
+	}
+	if err != nil {
+		m.log.Info("job not accepted", "job", spec.ID, "error", err.Error())
+		return err
+	}
+	m.log.Info("job accepted", "job", spec.ID, "version", receipt.Version, "rollouts", len(spec.Rollouts),
+		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.learn(spec.ID, owner, receipt.Version)
+	if m.runs[spec.ID] == nil && m.jobs[spec.ID].version == receipt.Version {
+		m.start(spec.ID, spec, owner, receipt.Version)
+	}
+	return nil
+}
+
+// settle commits a transaction that may be repeated until its fate is known.
+func (m *Manager) settle(ctx context.Context, id string, tx platform.RowTransaction) (platform.Receipt, error) {
+	doubt := false
+	for {
+		receipt, err := m.store.rows.Commit(ctx, tx)
+		switch {
+		case err == nil || failure.IsKind(err, failure.Conflict):
+			return receipt, err
+		case failure.IsKind(err, failure.StoreInDoubt):
+			doubt = true
+		case !doubt:
+			return receipt, failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "job %s was not kept", id)
+		}
+		select {
+		case <-time.After(settlePause):
+		case <-ctx.Done():
+			return platform.Receipt{}, failure.Wrap(err, failure.StoreInDoubt, failure.Unknown, "job %s may have been kept", id)
+		}
+	}
+}
+
+// clock estimates the store's clock.
+func (m *Manager) clock() time.Duration {
+	now, asked := m.hosts.Clock()
+	if asked.IsZero() {
+		return 0
+	}
+	return now + time.Since(asked)
+}
+
+// End ends a job. It returns NotFound for a job that the store does not know.
+func (m *Manager) End(ctx context.Context, id string) error {
+	m.mu.Lock()
+	k := m.jobs[id]
+	ended := k != nil && k.ended
+	m.mu.Unlock()
+	if ended {
+		return nil
+	}
+	if k == nil || k.version == 0 {
+		_, version, _, err := m.store.readOwner(ctx, id)
+		if err != nil {
+			return err
+		}
+		if version == 0 {
+			return failure.New(failure.NotFound, "", "there is no job %s", id)
+		}
+	}
+	for {
+		err := m.store.end(ctx, id, m.clock())
+		if err == nil {
+			break
+		}
+		if !failure.IsKind(err, failure.StoreInDoubt) {
+			return err
+		}
+		select {
+		case <-time.After(settlePause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+	m.log.Info("job ended", "job", id)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.jobs[id]; k != nil {
+		k.ended = true
+	}
+	if r := m.runs[id]; r != nil {
+		r.end("ended by its trainer")
+	}
+	return nil
+}
+
+// Leave gives up all jobs, so that other hosts take them over at once.
+func (m *Manager) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.leaving = true
+	runs := slices.Collect(maps.Values(m.runs))
+	m.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, r := range runs {
+		wait.Go(func() { r.handOver(ctx) })
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/internal/roster/heartbeat.go
@@ -0,0 +1,123 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+)
+
+const (
+	// beatInterval is the time between two heartbeats.
+	beatInterval = 400 * time.Millisecond
+	// beatTimeout bounds one heartbeat; a lost one is made up by the next.
+	beatTimeout = 400 * time.Millisecond
+	// sweepEvery is the number of heartbeats between two removals of old rows.
+	sweepEvery = 25
+)
+
+// Heartbeat writes this host's row.
+type Heartbeat struct {
+	rows   platform.Rows
+	roster *Roster
+	log    logr.Logger
+
+	mu   sync.Mutex
+	self Host
+	lost bool
+}
+
+// NewHeartbeat returns the heartbeat of a host.
+func NewHeartbeat(self Host, rows platform.Rows, roster *Roster, log logr.Logger) *Heartbeat {
+	self.State = Serving
+	return &Heartbeat{rows: rows, roster: roster, log: log, self: self}
+}
+
+// Self returns the host as its last heartbeat showed it.
+func (h *Heartbeat) Self() Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.self
+}
+
+// Run beats until ctx ends.
+func (h *Heartbeat) Run(ctx context.Context) error {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		h.beat(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// SetDraining announces that the host takes no new work. It implements drain.Announcer.
+func (h *Heartbeat) SetDraining() {
+	h.mu.Lock()
+	h.self.State = Leaving
+	h.mu.Unlock()
+	h.beat(context.Background())
+}
+
+// Remove deletes the host's row at the end of a stop.
+func (h *Heartbeat) Remove(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	row := platform.RowID{Table: Table, Key: h.Self().ID}
+	if _, err := h.rows.Commit(ctx, platform.RowTransaction{Writes: []platform.RowWrite{{RowID: row, Delete: true}}}); err != nil {
+		h.log.Info("host row is left to be forgotten", "error", err.Error())
+	}
+}
+
+func (h *Heartbeat) beat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	h.mu.Lock()
+	h.self.Beat++
+	self := h.self
+	h.mu.Unlock()
+	value, err := json.Marshal(self)
+	if err != nil {
+		h.log.Error(err, "heartbeat can't be encoded")
+		return
+	}
+	tx := platform.RowTransaction{Writes: []platform.RowWrite{{RowID: platform.RowID{Table: Table, Key: self.ID}, Value: value}}}
+	_, err = h.rows.Commit(ctx, tx)
+	h.report(err)
+	if err == nil && self.Beat%sweepEvery == 0 {
+		h.sweep(ctx)
+	}
+}
+
+// report logs when the heartbeat starts or ends to fail.
+func (h *Heartbeat) report(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if lost := err != nil; lost != h.lost {
+		h.lost = lost
+		if lost {
+			h.log.Info("heartbeat fails", "error", err.Error())
+		} else {
+			h.log.Info("heartbeat goes on", "beat", h.self.Beat)
+		}
+	}
+}
+
+// sweep deletes the rows of hosts that have been dead for long.
+func (h *Heartbeat) sweep(ctx context.Context) {
+	for _, row := range h.roster.Forgettable() {
+		tx := platform.RowTransaction{Checks: []platform.RowCheck{row}, Writes: []platform.RowWrite{{RowID: row.RowID, Delete: true}}}
+		if _, err := h.rows.Commit(ctx, tx); err != nil && !failure.IsKind(err, failure.Conflict) {
+			h.log.Info("row of a dead host is kept", "id", row.Key, "error", err.Error())
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,194 @@
+package roster
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+)
+
+// Table is the table of heartbeat rows, one a host, in the empty part.
+const Table = "hosts"
+
+const (
+	// DeadAfter is how long a row stands still before its host is held dead:
+	// three heartbeats and the time to see them.
+	DeadAfter = 1500 * time.Millisecond
+	// longestGap is the longest time between two looks at the rows within which
+	// a row that stood still says something about its host.
+	longestGap = 800 * time.Millisecond
+	// forgetAfter is how long the row of a dead host is kept.
+	forgetAfter = time.Minute
+)
+
+// State says whether a host takes new work.
+type State string
+
+// States of a host.
+const (
+	Serving State = "serving"
+	Leaving State = "leaving"
+)
+
+// Host is a host's heartbeat row.
+type Host struct {
+	ID string `json:"id"`
+	// Incarnation differs between two processes of one host.
+	Incarnation string `json:"incarnation"`
+	// Address is the ip:port for callers.
+	Address string `json:"address"`
+	// RelayAddress is the ip:port for other hosts.
+	RelayAddress  string `json:"relay_address"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	State         State  `json:"state"`
+	// Beat grows with each heartbeat.
+	Beat uint64 `json:"beat"`
+}
+
+type entry struct {
+	host    Host
+	version uint64
+	// seen is the store's clock when the row was first seen at its version.
+	seen time.Duration
+}
+
+// Roster is the view of all hosts. It is a sink of the table's follower.
+type Roster struct {
+	log logr.Logger
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	fresh   []*entry
+	clock   time.Duration
+	asked   time.Time
+	dead    map[string]bool
+}
+
+// New returns an empty roster.
+func New(log logr.Logger) *Roster {
+	return &Roster{log: log, entries: map[string]*entry{}, dead: map[string]bool{}}
+}
+
+// Changed implements follow.Sink.
+func (r *Roster) Changed(row platform.VersionedRow) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if row.Deleted {
+		delete(r.entries, row.Key)
+		delete(r.dead, row.Key)
+		return
+	}
+	var host Host
+	if err := json.Unmarshal(row.Value, &host); err != nil || host.ID != row.Key {
+		r.log.Info("host row can't be read", "key", row.Key, "version", row.Version)
+		return
+	}
+	e := &entry{host: host, version: row.Version}
+	if old := r.entries[row.Key]; old == nil || old.host.Incarnation != host.Incarnation || old.host.State != host.State {
+		r.log.Info("host seen", "id", host.ID, "incarnation", host.Incarnation, "state", host.State)
+	}
+	r.entries[row.Key] = e
+	r.fresh = append(r.fresh, e)
+}
+
+// Caught implements follow.Sink.
+func (r *Roster) Caught(now time.Duration, asked time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now-r.clock > longestGap {
+		for _, e := range r.entries {
+			e.seen = now
+		}
+	}
+	for _, e := range r.fresh {
+		e.seen = now
+	}
+	r.fresh = r.fresh[:0]
+	r.clock, r.asked = now, asked
+	for id, e := range r.entries {
+		dead := now-e.seen > DeadAfter
+		if dead != r.dead[id] {
+			r.log.Info("host's heartbeat", "id", id, "dead", dead, "still_for", now-e.seen)
+		}
+		r.dead[id] = dead
+	}
+}
+
+// Clock returns the store's clock at the last answer, and when that was asked for.
+func (r *Roster) Clock() (time.Duration, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock, r.asked
+}
+
+// Alive reports whether an incarnation of a host is alive. A host without a row is not.
+func (r *Roster) Alive(id, incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[id]
+	return e != nil && e.host.Incarnation == incarnation && !r.dead[id]
+}
+
+// Hosts returns the live hosts that take new work, in the order of their ids.
+func (r *Roster) Hosts() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hosts := make([]Host, 0, len(r.entries))
+	for id, e := range r.entries {
+		if !r.dead[id] && e.host.State == Serving {
+			hosts = append(hosts, e.host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b Host) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
+
+// Forgettable returns the rows of hosts that have been dead for long.
+func (r *Roster) Forgettable() []platform.RowCheck {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rows []platform.RowCheck
+	for id, e := range r.entries {
+		if r.clock-e.seen > forgetAfter {
+			rows = append(rows, platform.RowCheck{RowID: platform.RowID{Table: Table, Key: id}, Version: e.version})
+		}
+	}
+	return rows
+}
+
+// Rank returns a host's place in the order in which live hosts take up a piece
+// of work, 0 first. The order differs from key to key.
+func (r *Roster) Rank(key, id string) int {
+	own := weight(key, id)
+	rank := 0
+	for _, host := range r.Hosts() {
+		if w := weight(key, host.ID); host.ID != id && (w > own || w == own && host.ID < id) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(key, id string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(id))
+	// The last bytes of an FNV hash mix badly for ids that differ at their end only.
+	x := hash.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -12,9 +12,9 @@
 const iniTag = "ini"
 
 // checkKeys checks that the file has only known sections and keys, each once and of the right type.
-func checkKeys(file *ini.File, s *Settings) Problems {
+func checkKeys(file *ini.File, settings reflect.Type) Problems {
 	var problems Problems
-	sections := fieldsOf(reflect.TypeOf(*s))
+	sections := fieldsOf(settings)
 	seen := map[string]bool{}
 	for _, section := range file.Sections() {
 		name := section.Name()
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -16,7 +16,7 @@
 )
 
 // checkLimits checks each value against the validate tag of its field.
-func checkLimits(s *Settings) Problems {
+func checkLimits(s any) Problems {
 	v := validator.New()
 	v.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get(iniTag) })
 	if err := v.RegisterValidation(tagIPPort, isIPPort); err != nil {
@@ -81,7 +81,7 @@
 
 // keyOf returns the key of a field of Timing or Host that a tag compares with.
 func keyOf(field string) string {
-	for _, t := range []reflect.Type{reflect.TypeFor[Timing](), reflect.TypeFor[Host]()} {
+	for _, t := range []reflect.Type{reflect.TypeFor[Timing](), reflect.TypeFor[Host](), reflect.TypeFor[RowsHost](), reflect.TypeFor[RowsTiming]()} {
 		if f, ok := t.FieldByName(field); ok {
 			return f.Tag.Get(iniTag)
 		}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"reflect"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -41,15 +42,23 @@
 
 func parse(file *ini.File) (*Settings, error) {
 	s := Default()
-	problems := checkKeys(file, s)
+	if err := fill(file, s, reflect.TypeFor[Settings]()); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// fill checks a file and copies it into target, a pointer to a struct of type t.
+func fill(file *ini.File, target any, t reflect.Type) error {
+	problems := checkKeys(file, t)
 	if len(problems) == 0 {
-		if err := file.StrictMapTo(s); err != nil {
-			return nil, failure.Wrap(err, failure.InvalidSettings, "", "settings have a value of the wrong type")
+		if err := file.StrictMapTo(target); err != nil {
+			return failure.Wrap(err, failure.InvalidSettings, "", "settings have a value of the wrong type")
 		}
-		problems = checkLimits(s)
+		problems = checkLimits(target)
 	}
 	if len(problems) > 0 {
-		return nil, problems.invalid()
+		return problems.invalid()
 	}
-	return s, nil
+	return nil
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -30,13 +30,18 @@
 type Client struct {
 	pool    *pool
 	leaving LeavingMarker
+	dialect Dialect
 }
 
 // Do implements Exchanger. It sets the request's Host to the target's address
 // and removes its connection headers. Redirects and error statuses are answers.
 func (c *Client) Do(ctx context.Context, target membership.Upstream, req *fasthttp.Request, resp *fasthttp.Response) error {
 	began := time.Now()
-	err := c.exchange(ctx, target, req, resp, c.pool.patience(target.Address))
+	silence := c.pool.timing.ProgressTimeout
+	if !c.dialect.Patient {
+		silence = c.pool.patience(target.Address)
+	}
+	err := c.exchange(ctx, target, req, resp, silence)
 	if err == nil {
 		c.pool.answered(target.Address, time.Since(began))
 	}
@@ -45,14 +50,14 @@
 
 // exchange makes one attempt. silence bounds each silence on a used connection.
 func (c *Client) exchange(ctx context.Context, target membership.Upstream, req *fasthttp.Request, resp *fasthttp.Response, silence time.Duration) error {
-	prepare(req, target)
+	c.prepare(req, target)
 	co, err := c.send(ctx, target, req, silence)
 	if err != nil {
 		return err
 	}
 	resp.StreamBody = false
 	resp.SkipBody = req.Header.IsHead()
-	if err = readAnswer(co.conn, req, resp); err != nil {
+	if err = c.readAnswer(co.conn, req, resp); err != nil {
 		co.abandon()
 		return c.broken(ctx, target, co.conn, err)
 	}
@@ -61,9 +66,11 @@
 }
 
 // prepare makes a request fit for the connection to the target.
-func prepare(req *fasthttp.Request, target membership.Upstream) {
-	req.SetHost(target.Address)
-	req.Header.SetHost(target.Address)
+func (c *Client) prepare(req *fasthttp.Request, target membership.Upstream) {
+	if !c.dialect.KeepHost {
+		req.SetHost(target.Address)
+		req.Header.SetHost(target.Address)
+	}
 	req.Header.Del(fasthttp.HeaderConnection)
 	req.Header.Del(fasthttp.HeaderExpect)
 	req.Header.Del("Keep-Alive")
@@ -169,8 +176,8 @@
 }
 
 // readAnswer reads one whole answer and checks that it belongs to the request.
-func readAnswer(co *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
-	if err := readHeader(co, req, resp); err != nil {
+func (c *Client) readAnswer(co *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if err := c.readHeader(co, req, resp); err != nil {
 		return err
 	}
 	return readBody(co, resp)
@@ -193,25 +200,25 @@
 }
 
 // readHeader reads the header of the final answer.
-func readHeader(co *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
+func (c *Client) readHeader(co *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
 	for range maxInterim {
 		if err := resp.Header.Read(co.reader); err != nil {
 			return err
 		}
 		if status := resp.StatusCode(); status >= fasthttp.StatusOK {
-			return checkHeader(req, resp)
+			return c.checkHeader(req, resp)
 		}
 	}
 	return errTooManyInterim
 }
 
-func checkHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
-	want := req.Header.Peek(engineapi.HeaderRequestID)
-	got := resp.Header.Peek(engineapi.HeaderRequestID)
+func (c *Client) checkHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
+	want := req.Header.Peek(c.dialect.RequestID)
+	got := resp.Header.Peek(c.dialect.RequestID)
 	if len(want) > 0 && len(got) > 0 && !bytes.Equal(want, got) {
 		return errOtherRequest
 	}
-	if bodyExpected(resp) && resp.Header.ContentLength() == closeDelimitedLength {
+	if bodyExpected(resp) && resp.Header.ContentLength() == closeDelimitedLength && !c.dialect.EndByClose {
 		return errNoLength
 	}
 	return nil
--- a/internal/upstream/generate.go
+++ b/internal/upstream/generate.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return g.partial(err)
 	}
-	if err = readHeader(co.conn, req, resp); err != nil {
+	if err = g.client.readHeader(co.conn, req, resp); err != nil {
 		co.abandon()
 		return g.partial(g.client.broken(ctx, g.target, co.conn, err))
 	}
@@ -116,7 +116,7 @@
 	req.Header.SetContentType("application/json")
 	req.Header.Set(engineapi.HeaderRequestID, g.req.RequestID)
 	req.SetBodyRaw(body)
-	prepare(req, g.target)
+	g.client.prepare(req, g.target)
 	return nil
 }
 
--- a/internal/upstream/provide.go
+++ b/internal/upstream/provide.go
@@ -25,5 +25,5 @@
 
 // NewClient returns a client that dials with dial and reports leaving upstreams to leaving.
 func NewClient(dial DialFunc, timing settings.Timing, leaving LeavingMarker) *Client {
-	return &Client{pool: newPool(dial, timing), leaving: leaving}
+	return &Client{pool: newPool(dial, timing), leaving: leaving, dialect: ownDialect}
 }
