--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -7,10 +7,8 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 )
 
-const (
-	// freshFor is how old the feed's picture may be for an answer that says that there is nothing.
-	freshFor = 1500 * time.Millisecond
-)
+// freshFor is how old the feed's picture may be for an answer that says that there is nothing.
+const freshFor = 800 * time.Millisecond
 
 // Page is a part of a job's results.
 type Page struct {
@@ -49,9 +47,16 @@
 			return Page{Total: owner.Total}, nil
 		}
 		left := time.Until(end)
+		if left <= 0 && fresh {
+			return Page{Total: owner.Total}, nil
+		}
 		if left <= 0 {
-			if !fresh {
-				return Page{}, failure.New(failure.StoreUnavailable, failure.NotRun, "the store was not reached lately")
+			var err error
+			if owner, err = m.confirm(ctx, id); err != nil {
+				return Page{}, err
+			}
+			if after < owner.Listed {
+				return m.page(ctx, id, nil, owner, after)
 			}
 			return Page{Total: owner.Total}, nil
 		}
@@ -74,7 +79,7 @@
 	return true
 }
 
-// confirm asks the store for a job that the feed has not shown.
+// confirm asks the store for a job of which the feed has shown nothing, or nothing lately.
 func (m *Manager) confirm(ctx context.Context, id string) (Owner, error) {
 	owner, version, _, err := m.store.readOwner(ctx, id)
 	if err != nil {
--- /dev/null
+++ b/internal/platform/platformtest/rows.go
@@ -0,0 +1,254 @@
+package platformtest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+)
+
+// rowsPage bounds the rows of one answer.
+const rowsPage = 500
+
+// Rows is a row service in memory. Each host uses a Client of its own, so that
+// faults may strike single hosts.
+type Rows struct {
+	mu      sync.Mutex
+	began   time.Time
+	rows    map[platform.RowID]platform.VersionedRow
+	changes []platform.VersionedRow
+	// forgotten is the newest version whose changes are not known any more.
+	forgotten uint64
+	version   uint64
+	changed   chan struct{}
+	commits   int
+}
+
+// NewRows returns an empty row service.
+func NewRows() *Rows {
+	return &Rows{began: time.Now(), rows: map[platform.RowID]platform.VersionedRow{}, changed: make(chan struct{})}
+}
+
+// Forget drops the history of changes.
+func (r *Rows) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changes, r.forgotten = nil, r.version
+}
+
+// Commits returns the number of transactions that took effect.
+func (r *Rows) Commits() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.commits
+}
+
+// Row returns a row as it stands.
+func (r *Rows) Row(id platform.RowID) platform.VersionedRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rows[id]
+}
+
+// Put writes a row as an operator or replica does.
+func (r *Rows) Put(id platform.RowID, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(platform.RowTransaction{Writes: []platform.RowWrite{{RowID: id, Value: value}}})
+}
+
+// Delete removes a row as an operator or replica does.
+func (r *Rows) Delete(id platform.RowID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(platform.RowTransaction{Writes: []platform.RowWrite{{RowID: id, Delete: true}}})
+}
+
+// Client returns a client of one host.
+func (r *Rows) Client() *RowsClient { return &RowsClient{rows: r} }
+
+// now is the service's steady clock.
+func (r *Rows) now() time.Duration { return time.Hour + time.Since(r.began) }
+
+// apply does a transaction if its checks hold. The caller holds mu.
+func (r *Rows) apply(tx platform.RowTransaction) (platform.Receipt, error) {
+	for _, check := range tx.Checks {
+		if r.rows[check.RowID].Version != check.Version {
+			return platform.Receipt{}, failure.New(failure.Conflict, "", "row %s is at version %d", check.Key, r.rows[check.RowID].Version)
+		}
+	}
+	r.version++
+	r.commits++
+	for _, write := range tx.Writes {
+		row := platform.VersionedRow{RowID: write.RowID, Value: slices.Clone(write.Value), Version: r.version, Deleted: write.Delete}
+		if write.Delete {
+			delete(r.rows, write.RowID)
+		} else {
+			r.rows[write.RowID] = row
+		}
+		r.changes = append(r.changes, row)
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return platform.Receipt{Version: r.version, Now: r.now()}, nil
+}
+
+// RowsClient is one host's way to the row service. Its fields are faults.
+type RowsClient struct {
+	rows *Rows
+
+	mu sync.Mutex
+	// down refuses all calls; nothing is done.
+	down bool
+	// lose does the next writes and loses their answers.
+	lose int
+	// late loses the answers of the next writes and does them after a delay.
+	late      int
+	lateAfter time.Duration
+	pending   sync.WaitGroup
+}
+
+// SetDown makes all calls fail without an effect, or work again.
+func (c *RowsClient) SetDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+// LoseAnswers does the next n writes and loses their answers.
+func (c *RowsClient) LoseAnswers(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lose = n
+}
+
+// Delay loses the answers of the next n writes and does them after a delay, if their checks then hold.
+func (c *RowsClient) Delay(n int, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late, c.lateAfter = n, after
+}
+
+// Settle waits for delayed writes.
+func (c *RowsClient) Settle() { c.pending.Wait() }
+
+func (c *RowsClient) check(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down || ctx.Err() != nil {
+		return failure.New(failure.StoreUnavailable, "", "the store can't be reached")
+	}
+	return nil
+}
+
+// Read implements platform.Rows.
+func (c *RowsClient) Read(ctx context.Context, q platform.RowRange) (platform.RowPage, error) {
+	if err := c.check(ctx); err != nil {
+		return platform.RowPage{}, err
+	}
+	r := c.rows
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := q.Limit
+	if limit <= 0 || limit > rowsPage {
+		limit = rowsPage
+	}
+	page := platform.RowPage{Version: r.version, Now: r.now()}
+	for id, row := range r.rows {
+		if id.Table == q.Table && id.Part == q.Part && id.Key >= q.From && (q.To == "" || id.Key < q.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b platform.VersionedRow) int { return strings.Compare(a.Key, b.Key) })
+	if len(page.Rows) > limit {
+		page.Rows, page.More = page.Rows[:limit], true
+	}
+	return page, nil
+}
+
+// Parts implements platform.Rows.
+func (c *RowsClient) Parts(ctx context.Context, table, after string) (platform.PartPage, error) {
+	if err := c.check(ctx); err != nil {
+		return platform.PartPage{}, err
+	}
+	r := c.rows
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	page := platform.PartPage{Version: r.version, Now: r.now()}
+	for id := range r.rows {
+		if id.Table == table && id.Part > after && !slices.Contains(page.Parts, id.Part) {
+			page.Parts = append(page.Parts, id.Part)
+		}
+	}
+	slices.Sort(page.Parts)
+	return page, nil
+}
+
+// Changes implements platform.Rows.
+func (c *RowsClient) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (platform.RowPage, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		if err := c.check(ctx); err != nil {
+			return platform.RowPage{}, err
+		}
+		page, changed, err := c.rows.changesSince(table, after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *Rows) changesSince(table string, after uint64) (platform.RowPage, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if after < r.forgotten {
+		return platform.RowPage{}, nil, failure.New(failure.HistoryLost, "", "changes up to %d are forgotten", r.forgotten)
+	}
+	page := platform.RowPage{Version: r.version, Now: r.now()}
+	for _, row := range r.changes {
+		if row.Table == table && row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, r.changed, nil
+}
+
+// Commit implements platform.Rows.
+func (c *RowsClient) Commit(ctx context.Context, tx platform.RowTransaction) (platform.Receipt, error) {
+	if err := c.check(ctx); err != nil {
+		return platform.Receipt{}, err
+	}
+	c.mu.Lock()
+	lose, late, after := c.lose > 0, c.late > 0, c.lateAfter
+	c.lose = max(0, c.lose-1)
+	c.late = max(0, c.late-1)
+	c.mu.Unlock()
+	if late {
+		c.pending.Go(func() {
+			time.Sleep(after)
+			c.rows.mu.Lock()
+			defer c.rows.mu.Unlock()
+			// A check that does not hold any more is the fate of a late write.
+			_, _ = c.rows.apply(tx)
+		})
+		return platform.Receipt{}, failure.New(failure.StoreInDoubt, "", "the store gave no answer")
+	}
+	c.rows.mu.Lock()
+	receipt, err := c.rows.apply(tx)
+	c.rows.mu.Unlock()
+	if lose {
+		return platform.Receipt{}, failure.New(failure.StoreInDoubt, "", "the store gave no answer")
+	}
+	return receipt, err
+}
