--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,11 +71,17 @@
 type Fleet struct {
 	log logr.Logger
 
+	// connected tells whether a connection to an address waits for use; may be nil.
+	connected func(address string) bool
+
 	mu      sync.Mutex
 	members map[string]*member
 	changed chan struct{}
 }
 
+// SetConnected sets how the fleet learns of waiting connections. Call it before use.
+func (f *Fleet) SetConnected(connected func(address string) bool) { f.connected = connected }
+
 // New returns an empty fleet.
 func New(log logr.Logger) *Fleet {
 	return &Fleet{log: log, members: map[string]*member{}, changed: make(chan struct{})}
@@ -229,6 +235,7 @@
 	replicas := make([]placement.Replica, len(members))
 	for i, m := range members {
 		replicas[i] = m.view(want.Model, usual, now)
+		replicas[i].Connected = f.connected != nil && f.connected(m.Address)
 	}
 	return members, replicas
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -84,10 +84,22 @@
 	// Model, Step and Host of the route find the job from which groups are carried over.
 	Model string `json:"model,omitempty"`
 	Step  int    `json:"step"`
+	// MinVersion is the oldest version of the weights that the job allows.
+	MinVersion uint64 `json:"min_version,omitempty"`
 	// Chunks is the number of rows that hold the spec.
 	Chunks int `json:"chunks"`
 }
 
+// key is what decides which host runs a job: those of one model are run by the
+// same host, which then knows the engines, holds connections to them and has the
+// texts that are carried over.
+func (o Owner) key(id string) string {
+	if o.Model == "" {
+		return id
+	}
+	return o.Model
+}
+
 // accepted returns the store's clock at the acceptance.
 func (o Owner) accepted() time.Duration { return time.Duration(o.AcceptedMS) * time.Millisecond }
 
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -47,7 +47,10 @@
 	scorer      Scorer
 	log         logr.Logger
 
-	mu      sync.Mutex
+	mu     sync.Mutex
+	demand func(model string, oldest uint64)
+	// steps are the newest steps seen by model.
+	steps   map[string]int
 	jobs    map[string]*known
 	runs    map[string]*run
 	caught  time.Time
@@ -56,9 +59,11 @@
 
 	wake     chan struct{}
 	dispatch chan struct{}
-	waits    sync.WaitGroup
-	ctx      context.Context
-	stop     context.CancelFunc
+	// scoring holds a token for each scoring call in progress.
+	scoring chan struct{}
+	waits   sync.WaitGroup
+	ctx     context.Context
+	stop    context.CancelFunc
 }
 
 // Config are the parts that a Manager works with.
@@ -73,6 +78,8 @@
 	Fleet  *fleet.Fleet
 	Engine Engine
 	Scorer Scorer
+	// Demand is told the oldest version of a model\'s weights that its newest job allows; it may be nil.
+	Demand func(model string, oldest uint64)
 	Log    logr.Logger
 }
 
@@ -81,8 +88,8 @@
 	m := &Manager{
 		host: c.Host, incarnation: c.Incarnation, ownDomain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
 		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log,
-		jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
-		wake: make(chan struct{}, 1), dispatch: make(chan struct{}, 1),
+		demand: c.Demand, steps: map[string]int{}, jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
+		wake: make(chan struct{}, 1), dispatch: make(chan struct{}, 1), scoring: make(chan struct{}, scoringAtOnce),
 	}
 	m.ctx, m.stop = context.WithCancel(context.Background())
 	return m
@@ -135,6 +142,12 @@
 		k.orphanSince = time.Time{}
 	}
 	k.owner, k.version = owner, version
+	if newest, seen := m.steps[owner.Model]; owner.Model != "" && (!seen || owner.Step > newest) {
+		m.steps[owner.Model] = owner.Step
+		if m.demand != nil {
+			m.demand(owner.Model, owner.MinVersion)
+		}
+	}
 	if r := m.runs[job]; r != nil && !m.owns(owner) {
 		r.lose("the feed shows another owner", version)
 	}
@@ -199,7 +212,7 @@
 			if k.orphanSince.IsZero() {
 				k.orphanSince = now
 			}
-			if now.Sub(k.orphanSince) >= time.Duration(m.hosts.Rank(id, m.host))*rankStep {
+			if now.Sub(k.orphanSince) >= time.Duration(m.hosts.Rank(k.owner.key(id), m.host))*rankStep {
 				orphans = append(orphans, id)
 			}
 		}
@@ -287,7 +300,10 @@
 	}
 	owner := Owner{
 		Host: m.host, Incarnation: m.incarnation, AcceptedMS: m.clock().Milliseconds(),
-		Total: len(spec.Rollouts), Model: spec.Model, Step: spec.Step,
+		Total: len(spec.Rollouts), Model: spec.Model, Step: spec.Step, MinVersion: spec.MinVersion,
+	}
+	if host, incarnation, ok := m.hosts.First(owner.key(spec.ID)); ok {
+		owner.Host, owner.Incarnation = host, incarnation
 	}
 	txs, err := acceptance(spec, owner)
 	if err != nil {
@@ -312,12 +328,12 @@
 		m.log.Info("job not accepted", "job", spec.ID, "error", err.Error())
 		return err
 	}
-	m.log.Info("job accepted", "job", spec.ID, "version", receipt.Version, "rollouts", len(spec.Rollouts),
+	m.log.Info("job accepted", "job", spec.ID, "owner", owner.Host, "version", receipt.Version, "rollouts", len(spec.Rollouts),
 		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.learn(spec.ID, owner, receipt.Version)
-	if m.runs[spec.ID] == nil && m.jobs[spec.ID].version == receipt.Version {
+	if m.owns(owner) && m.runs[spec.ID] == nil && m.jobs[spec.ID].version == receipt.Version {
 		m.start(spec.ID, spec, owner, receipt.Version)
 	}
 	return nil
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -54,6 +54,22 @@
 	})
 }
 
+func TestJobsOfOneModelAreRunByOneHost(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a, b := w.boot("a"), w.boot("b")
+		first, second := spec("first", 4), spec("second", 4)
+		w.accept(a, first)
+		w.accept(b, second)
+		one, _ := w.sides(first.ID)
+		two, _ := w.sides(second.ID)
+		if one != two {
+			t.Errorf("%s and %s run jobs of one model", one.id, two.id)
+		}
+		w.finishes(a, first, 3*time.Second)
+		w.finishes(b, second, 3*time.Second)
+	})
+}
+
 func TestAcceptanceInDoubtIsNotRefusedAsNotRun(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a, b := w.boot("a"), w.boot("b")
@@ -94,6 +110,7 @@
 		a, b := w.boot("a"), w.boot("b")
 		s := spec("job", 20)
 		w.accept(a, s)
+		a, b = w.sides(s.ID)
 		time.Sleep(500 * time.Millisecond)
 		before := w.read(b, s.ID)
 		a.rows.SetDown(true)
@@ -131,6 +148,7 @@
 		a, b := w.boot("a"), w.boot("b")
 		s := spec("job", 2)
 		w.accept(a, s)
+		a, b = w.sides(s.ID)
 		time.Sleep(8 * testPace)
 		saveNow(a, s.ID)
 		a.kill()
@@ -158,6 +176,7 @@
 			a, b := w.boot("a"), w.boot("b")
 			s := spec("job", 12)
 			w.accept(a, s)
+			a, b = w.sides(s.ID)
 			if late {
 				a.rows.Delay(6, 700*time.Millisecond)
 			} else {
@@ -198,6 +217,7 @@
 		a, b := w.boot("a"), w.boot("b")
 		s := spec("job", 40)
 		w.accept(a, s)
+		a, b = w.sides(s.ID)
 		time.Sleep(200 * time.Millisecond)
 		a.kill()
 		if err := b.manager.End(context.Background(), s.ID); err != nil {
@@ -365,6 +385,7 @@
 		a, b := w.boot("a"), w.boot("b")
 		s := spec("job", 20)
 		w.accept(a, s)
+		a, b = w.sides(s.ID)
 		time.Sleep(300 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -12,6 +12,9 @@
 	scoreTimeout = 2 * time.Second
 	// scorePause is the wait between two scoring calls that failed.
 	scorePause = 100 * time.Millisecond
+	// scoringAtOnce bounds the scoring calls of a host in progress. Rollouts end in
+	// bursts, and the services that score them serve customers, too.
+	scoringAtOnce = 10
 	// scoreAttempts is how many calls, each tried at several replicas, may end
 	// with a failure of the service before the rollout is given up.
 	scoreAttempts = 2
@@ -27,6 +30,12 @@
 		return
 	}
 	failures := 0
+	select {
+	case r.m.scoring <- struct{}{}:
+		defer func() { <-r.m.scoring }()
+	case <-r.ctx.Done():
+		return
+	}
 	for r.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, scoreTimeout)
 		signature, err := r.m.scorer.Score(ctx, *it.rollout.Score)
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -14,7 +15,6 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/follow"
-	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
 	"github.com/sapphirehatch/sapphirehatch/internal/roster"
 )
@@ -144,10 +144,12 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	beat    *roster.Heartbeat
+	killed  bool
 }
 
 // kill ends the process without a word.
 func (h *host) kill() {
+	h.killed = true
 	h.rows.SetDown(true)
 	h.cancel()
 	h.done.Wait()
@@ -294,8 +296,24 @@
 	}
 }
 
-// ownerOf returns the owner row of a job.
-func (w *world) ownerOf(id string) platform.VersionedRow { return w.rows.Row(ownerID(id)) }
+// sides returns the host that owns a job and another one that lives.
+func (w *world) sides(id string) (owner, other *host) {
+	w.t.Helper()
+	var row Owner
+	if err := json.Unmarshal(w.rows.Row(ownerID(id)).Value, &row); err != nil {
+		w.t.Fatal(err)
+	}
+	for _, h := range w.hosts {
+		switch {
+		case h.killed:
+		case h.id == row.Host:
+			owner = h
+		default:
+			other = h
+		}
+	}
+	return owner, other
+}
 
 // testSink writes log lines to a test's output.
 type testSink struct {
@@ -308,7 +326,9 @@
 func (s *testSink) Info(_ int, msg string, kv ...any) {
 	s.t.Log(append([]any{time.Now().Format("05.000"), msg}, append(s.values, kv...)...)...)
 }
-func (s *testSink) Error(err error, msg string, kv ...any) { s.Info(0, msg, append(kv, "error", err)...) }
+func (s *testSink) Error(err error, msg string, kv ...any) {
+	s.Info(0, msg, append(kv, "error", err)...)
+}
 func (s *testSink) WithValues(kv ...any) logr.LogSink {
 	return &testSink{t: s.t, values: append(append([]any(nil), s.values...), kv...)}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,6 +30,8 @@
 	Pace float64
 	// Version is the version of the model that the request needs; zero if not known.
 	Version uint64
+	// Connected is true if a connection to the replica waits for use.
+	Connected bool
 }
 
 // Request is what has to be placed.
@@ -53,6 +55,9 @@
 	loadCost = 0.15
 	// domainCost is what a replica in another failure domain costs more; it breaks ties.
 	domainCost = 0.02
+	// connectCost is what a replica without a waiting connection costs more; a new
+	// one takes time at both ends.
+	connectCost = 0.06
 	// slotSlack is how many requests beyond the slots may queue at a replica.
 	slotSlack = 3
 )
@@ -114,5 +119,8 @@
 	if r.Domain != req.Domain {
 		cost += domainCost
 	}
+	if !r.Connected {
+		cost += connectCost
+	}
 	return cost
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,6 +19,8 @@
 	// DeadAfter is how long a row stands still before its host is held dead:
 	// three heartbeats and the time to see them.
 	DeadAfter = 1500 * time.Millisecond
+	// lateAfter is how long a row may stand still for its host to get new work.
+	lateAfter = 900 * time.Millisecond
 	// longestGap is the longest time between two looks at the rows within which
 	// a row that stood still says something about its host.
 	longestGap = 800 * time.Millisecond
@@ -180,6 +182,23 @@
 	return rank
 }
 
+// First returns the live host that comes first in the order for a key, among
+// those whose heartbeat was seen lately.
+func (r *Roster) First(key string) (id, incarnation string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best uint64
+	for _, e := range r.entries {
+		if r.dead[e.host.ID] || e.host.State != Serving || r.clock-e.seen > lateAfter {
+			continue
+		}
+		if w := weight(key, e.host.ID); !ok || w > best {
+			id, incarnation, ok, best = e.host.ID, e.host.Incarnation, true, w
+		}
+	}
+	return id, incarnation, ok
+}
+
 func weight(key, id string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(key))
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -76,7 +76,7 @@
 			StopGrace:    8 * time.Second,
 			JobRetention: 3 * time.Minute,
 		},
-		Swap: RowsSwap{AtOnce: 4},
+		Swap: RowsSwap{AtOnce: 3},
 	}
 }
 
--- a/internal/swap/controller.go
+++ b/internal/swap/controller.go
@@ -95,7 +95,7 @@
 	log     logr.Logger
 
 	mu     sync.Mutex
-	named  map[string]uint64
+	needs  map[string]Need
 	states map[string]*engineState
 	fence  uint64
 	began  time.Time
@@ -104,19 +104,37 @@
 // NewController returns a controller that lets at most atOnce engines load at a time.
 func NewController(host string, lease *Lease, f *fleet.Fleet, engines Engines, modes Modes, atOnce int, log logr.Logger) *Controller {
 	return &Controller{host: host, lease: lease, fleet: f, engines: engines, modes: modes, atOnce: atOnce, log: log,
-		named: map[string]uint64{}, states: map[string]*engineState{}}
+		needs: map[string]Need{}, states: map[string]*engineState{}}
 }
 
 // Name takes in the version that a trainer named for a model. Versions only grow.
 func (c *Controller) Name(model string, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version > c.named[model] {
-		c.named[model] = version
+	need := c.needs[model]
+	if version > need.Named {
+		need.Named = version
+		c.needs[model] = need
 		c.log.Info("version named", "model", model, "version", version)
 	}
 }
 
+// Demand takes in the oldest version that a model's newest job allows.
+func (c *Controller) Demand(model string, oldest uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	need := c.needs[model]
+	slack := uint64(0)
+	if need.Named > oldest {
+		slack = need.Named - oldest
+	}
+	if slack != need.Slack {
+		c.log.Info("jobs allow older versions", "model", model, "named", need.Named, "oldest", oldest, "slack", slack)
+	}
+	need.Slack = slack
+	c.needs[model] = need
+}
+
 // Run gives orders until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
@@ -143,7 +161,7 @@
 		c.fence, c.began = fence, now
 		c.states = map[string]*engineState{}
 	}
-	if now.Sub(c.began) < waitAfterTake || len(c.named) == 0 {
+	if now.Sub(c.began) < waitAfterTake || len(c.needs) == 0 {
 		return
 	}
 	targets := map[string]fleet.Replica{}
@@ -155,7 +173,7 @@
 		targets[r.ID] = r
 		engines = append(engines, c.view(r, now))
 	}
-	for _, order := range Plan(engines, c.named, c.atOnce, now) {
+	for _, order := range Plan(engines, c.needs, c.atOnce, now) {
 		c.send(ctx, targets[order.Engine], order, fence)
 	}
 }
@@ -174,7 +192,11 @@
 		}
 		s.version = 0
 	}
-	return Engine{ID: r.ID, Versions: r.Models, Loading: s.version > 0 || s.sending, RetryAt: s.retryAt}
+	e := Engine{ID: r.ID, Versions: r.Models, Loading: s.version > 0 || s.sending, RetryAt: s.retryAt}
+	if s.version > 0 {
+		e.LoadsModel = s.model
+	}
+	return e
 }
 
 // send gives an order in a goroutine of its own. The caller holds mu.
--- a/internal/swap/plan.go
+++ b/internal/swap/plan.go
@@ -16,8 +16,9 @@
 	ID string
 	// Versions are the versions in use by model.
 	Versions map[string]uint64
-	// Loading is true while an order is being carried out.
-	Loading bool
+	// Loading is true while an order is being carried out, for LoadsModel.
+	Loading    bool
+	LoadsModel string
 	// RetryAt is when the next order may be sent.
 	RetryAt time.Time
 	// InFlight is the number of this host's requests there.
@@ -31,31 +32,29 @@
 	Version uint64
 }
 
+// Need is what is wanted of the engines of one model.
+type Need struct {
+	// Named is the newest version that the trainer named.
+	Named uint64
+	// Slack is how many versions behind the newest one its jobs allow.
+	Slack uint64
+}
+
 // Plan returns the orders to send now, so that at most atOnce engines load.
-// Models whose engines lag most come first.
-func Plan(engines []Engine, named map[string]uint64, atOnce int, now time.Time) []Order {
+//
+// Engines with a version that no new job allows come first. Beside them, one in
+// slack+1 engines takes each version, so that never all fall behind at once and
+// each loads only as often as the jobs need.
+func Plan(engines []Engine, needs map[string]Need, atOnce int, now time.Time) []Order {
 	loading := 0
 	for _, e := range engines {
 		if e.Loading {
 			loading++
 		}
 	}
-	type candidate struct {
-		order Order
-		lag   uint64
-		busy  int
-	}
 	var candidates []candidate
-	for _, e := range engines {
-		if e.Loading || now.Before(e.RetryAt) {
-			continue
-		}
-		for model, version := range named {
-			has, holds := e.Versions[model]
-			if holds && has < version {
-				candidates = append(candidates, candidate{Order{e.ID, model, version}, version - has, e.InFlight})
-			}
-		}
+	for model, need := range needs {
+		candidates = append(candidates, candidatesFor(engines, model, need, now)...)
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(a.busy, b.busy), cmp.Compare(a.order.Model, b.order.Model), cmp.Compare(a.order.Engine, b.order.Engine))
@@ -73,3 +72,42 @@
 	}
 	return orders
 }
+
+// candidate is an order that may be sent, with what decides its place.
+type candidate struct {
+	order Order
+	lag   uint64
+	busy  int
+}
+
+// candidatesFor returns the orders that one model needs.
+func candidatesFor(engines []Engine, model string, need Need, now time.Time) []candidate {
+	holding, current := 0, 0
+	var outdated, usable []candidate
+	for _, e := range engines {
+		has, holds := e.Versions[model]
+		if !holds {
+			continue
+		}
+		holding++
+		if has >= need.Named || e.LoadsModel == model {
+			current++
+			continue
+		}
+		if e.Loading || now.Before(e.RetryAt) {
+			continue
+		}
+		c := candidate{Order{e.ID, model, need.Named}, need.Named - has, e.InFlight}
+		if has+need.Slack < need.Named {
+			outdated = append(outdated, c)
+		} else {
+			usable = append(usable, c)
+		}
+	}
+	share := (holding + int(need.Slack)) / (int(need.Slack) + 1)
+	wanted := max(0, share-current-len(outdated))
+	slices.SortFunc(usable, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(a.busy, b.busy), cmp.Compare(a.order.Engine, b.order.Engine))
+	})
+	return append(outdated, usable[:min(wanted, len(usable))]...)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,8 +25,10 @@
 	progress time.Duration
 	address  string
 	opened   time.Time
-	// idleSince is when the last exchange ended; owned by the pool.
+	// idleSince is when the last exchange ended and reuseFor how long the
+	// connection may be used again; owned by the pool.
 	idleSince time.Time
+	reuseFor  time.Duration
 
 	mu    sync.Mutex
 	ended bool
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -35,6 +35,9 @@
 // Run keeps the pool of connections until ctx ends.
 func (c *Client) Run(ctx context.Context) error { return c.pool.run(ctx) }
 
+// Connected reports whether an idle connection to an address may be used again.
+func (c *Client) Connected(address string) bool { return c.pool.connected(address) }
+
 // Stream makes one attempt whose answer of status 200 is read while it arrives:
 // read gets the body and must read it to its end. Answers of another status are
 // read whole, as by Do. Streams that end with their connection are not whole.
@@ -55,7 +58,7 @@
 		co.abandon()
 		return c.broken(ctx, target, co.conn, err)
 	}
-	co.finish(resp.ConnectionClose())
+	co.finish(&resp.Header)
 	return nil
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -61,7 +63,7 @@
 		co.abandon()
 		return c.broken(ctx, target, co.conn, err)
 	}
-	co.finish(resp.ConnectionClose())
+	co.finish(&resp.Header)
 	return c.checkLeaving(target, resp)
 }
 
@@ -73,7 +75,7 @@
 	}
 	req.Header.Del(fasthttp.HeaderConnection)
 	req.Header.Del(fasthttp.HeaderExpect)
-	req.Header.Del("Keep-Alive")
+	req.Header.Del(headerKeepAlive)
 	req.Header.Del(fasthttp.HeaderUpgrade)
 }
 
@@ -85,13 +87,28 @@
 }
 
 // finish ends a clean exchange and pools the connection if it may be used again.
-func (co *checkout) finish(closing bool) {
+func (co *checkout) finish(header *fasthttp.ResponseHeader) {
 	alive := co.stop()
-	if !alive || closing {
+	if !alive || header.ConnectionClose() {
 		co.close()
 		return
 	}
-	co.pool.put(co.conn)
+	co.pool.put(co.conn, statedIdle(string(header.Peek(headerKeepAlive))))
+}
+
+// headerKeepAlive tells how long an upstream keeps an idle connection.
+const headerKeepAlive = "Keep-Alive"
+
+// statedIdle reads the timeout of a Keep-Alive header; zero if it has none.
+func statedIdle(value string) time.Duration {
+	for parameter := range strings.SplitSeq(value, ",") {
+		name, number, found := strings.Cut(strings.TrimSpace(parameter), "=")
+		seconds, err := strconv.Atoi(number)
+		if found && strings.EqualFold(name, "timeout") && err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
 }
 
 // abandon ends an exchange that did not end cleanly.
--- a/internal/upstream/generate.go
+++ b/internal/upstream/generate.go
@@ -102,7 +102,7 @@
 		co.abandon()
 		return g.client.broken(ctx, g.target, co.conn, err)
 	}
-	co.finish(resp.ConnectionClose())
+	co.finish(&resp.Header)
 	return nil
 }
 
@@ -199,7 +199,7 @@
 		co.abandon()
 		return g.partial(g.client.broken(ctx, g.target, co.conn, err))
 	}
-	co.finish(resp.ConnectionClose())
+	co.finish(&resp.Header)
 	if err := g.client.checkLeaving(g.target, resp); err != nil {
 		return g.partial(err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,8 +10,12 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
 )
 
-// maxIdlePerUpstream bounds the idle connections kept to one upstream.
-const maxIdlePerUpstream = 64
+const (
+	// maxIdlePerUpstream bounds the idle connections kept to one upstream.
+	maxIdlePerUpstream = 64
+	// idleMargin is how long before an upstream closes an idle connection it is not used any more.
+	idleMargin = time.Second
+)
 
 // DialFunc opens a connection to an ip:port address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
@@ -55,13 +59,25 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < p.timing.IdleReuse && quiet(c.raw) {
+		if time.Since(c.idleSince) < c.reuseFor && quiet(c.raw) {
 			return c
 		}
 		c.close()
 	}
 }
 
+// connected reports whether an idle connection to an address may be used again.
+func (p *pool) connected(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	if len(conns) == 0 {
+		return false
+	}
+	newest := conns[len(conns)-1]
+	return time.Since(newest.idleSince) < newest.reuseFor
+}
+
 func (p *pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,9 +92,14 @@
 	return c
 }
 
-// put returns a connection whose exchange ended cleanly.
-func (p *pool) put(c *conn) {
+// put returns a connection whose exchange ended cleanly. stated is how long the
+// upstream keeps it idle; zero if it did not say.
+func (p *pool) put(c *conn, stated time.Duration) {
 	c.idleSince = time.Now()
+	c.reuseFor = p.timing.IdleReuse
+	if stated > 0 {
+		c.reuseFor = max(stated-idleMargin, stated/2)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdlePerUpstream {
@@ -105,7 +126,7 @@
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if time.Since(c.idleSince) < p.timing.IdleReuse {
+			if time.Since(c.idleSince) < c.reuseFor {
 				kept = append(kept, c)
 				continue
 			}
