--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -105,7 +105,7 @@
 	var order []Waiting
 	for _, r := range m.activeRuns() {
 		r.mu.Lock()
-		if !r.prepared || r.isEnded || r.isLost || r.isLeft {
+		if !r.prepared || r.isEnded || r.isLost {
 			r.mu.Unlock()
 			continue
 		}
@@ -165,7 +165,7 @@
 // begin starts a run of a rollout at an engine on which a place is reserved.
 func (r *run) begin(p place, target fleet.Replica) {
 	r.mu.Lock()
-	if p.it.state != waiting || r.isEnded || r.isLost || r.isLeft {
+	if p.it.state != waiting || r.isEnded || r.isLost {
 		r.mu.Unlock()
 		r.m.fleet.Release(target.ID)
 		return
@@ -197,7 +197,7 @@
 	it := p.it
 	now := time.Now()
 	switch {
-	case r.isEnded || r.isLost || r.isLeft || it.state != running || it.engine != target.ID:
+	case r.isEnded || r.isLost || it.state != running || it.engine != target.ID:
 		return errEnded
 	case e.Version < r.spec.MinVersion:
 		return errStaleVersion
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -274,7 +272,7 @@
 // start runs a job. The caller holds mu. spec may be nil; then it is read first.
 func (m *Manager) start(id string, spec *Spec, owner Owner, version uint64) {
 	r := newRun(m, id, spec, owner, version)
-	// A stopping host only hands over what it has accepted.
+	// A stopping host only hands over what it accepts.
 	r.isLeft = m.leaving
 	m.runs[id] = r
 	m.waits.Go(func() {
@@ -413,14 +411,17 @@
 	return nil
 }
 
-// Leave gives up all jobs, so that other hosts take them over at once.
-func (m *Manager) Leave(ctx context.Context) {
+// Leave takes no further jobs, goes on with those that this host runs for a
+// while, and then gives up what is left, so that other hosts take it over at once.
+func (m *Manager) Leave(ctx context.Context, keep time.Duration) {
 	m.mu.Lock()
 	m.leaving = true
-	runs := slices.Collect(maps.Values(m.runs))
 	m.mu.Unlock()
+	for end := time.Now().Add(keep); time.Now().Before(end) && ctx.Err() == nil && len(m.activeRuns()) > 0; {
+		time.Sleep(reconcileInterval)
+	}
 	var wait sync.WaitGroup
-	for _, r := range runs {
+	for _, r := range m.activeRuns() {
 		wait.Go(func() { r.handOver(ctx) })
 	}
 	wait.Wait()
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -107,10 +107,10 @@
 
 func TestOwnerThatIsCutOffLosesItsJob(t *testing.T) {
 	inWorld(t, func(w *world) {
-		a, b := w.boot("a"), w.boot("b")
+		w.boot("a")
 		s := spec("job", 20)
-		w.accept(a, s)
-		a, b = w.sides(s.ID)
+		w.accept(w.boot("b"), s)
+		a, b := w.sides(s.ID)
 		time.Sleep(500 * time.Millisecond)
 		before := w.read(b, s.ID)
 		a.rows.SetDown(true)
@@ -145,10 +145,10 @@
 
 func TestTextGoesOnAfterATakeOver(t *testing.T) {
 	inWorld(t, func(w *world) {
-		a, b := w.boot("a"), w.boot("b")
+		w.boot("a")
 		s := spec("job", 2)
-		w.accept(a, s)
-		a, b = w.sides(s.ID)
+		w.accept(w.boot("b"), s)
+		a, b := w.sides(s.ID)
 		time.Sleep(8 * testPace)
 		saveNow(a, s.ID)
 		a.kill()
@@ -173,10 +173,10 @@
 func TestListingWhoseAnswerIsLost(t *testing.T) {
 	for _, late := range []bool{false, true} {
 		inWorld(t, func(w *world) {
-			a, b := w.boot("a"), w.boot("b")
+			w.boot("a")
 			s := spec("job", 12)
-			w.accept(a, s)
-			a, b = w.sides(s.ID)
+			w.accept(w.boot("b"), s)
+			a, b := w.sides(s.ID)
 			if late {
 				a.rows.Delay(6, 700*time.Millisecond)
 			} else {
@@ -214,10 +214,10 @@
 
 func TestEndedJobIsNotTakenUpAgain(t *testing.T) {
 	inWorld(t, func(w *world) {
-		a, b := w.boot("a"), w.boot("b")
+		w.boot("a")
 		s := spec("job", 40)
-		w.accept(a, s)
-		a, b = w.sides(s.ID)
+		w.accept(w.boot("b"), s)
+		a, b := w.sides(s.ID)
 		time.Sleep(200 * time.Millisecond)
 		a.kill()
 		if err := b.manager.End(context.Background(), s.ID); err != nil {
@@ -382,15 +382,15 @@
 
 func TestStoppingHostHandsItsJobsOver(t *testing.T) {
 	inWorld(t, func(w *world) {
-		a, b := w.boot("a"), w.boot("b")
+		w.boot("a")
 		s := spec("job", 20)
-		w.accept(a, s)
-		a, b = w.sides(s.ID)
+		w.accept(w.boot("b"), s)
+		a, b := w.sides(s.ID)
 		time.Sleep(300 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		began := time.Now()
-		a.manager.Leave(ctx)
+		a.manager.Leave(ctx, 0)
 		if took := time.Since(began); took > time.Second {
 			t.Errorf("the hand-over took %s", took)
 		}
@@ -402,6 +402,30 @@
 	})
 }
 
+func TestStoppingHostGoesOnWhileTheStoreIsAway(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.boot("a")
+		s := spec("job", 4)
+		w.accept(w.boot("b"), s)
+		a, b := w.sides(s.ID)
+		time.Sleep(2 * testPace)
+		a.rows.SetDown(true)
+		b.rows.SetDown(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+		defer cancel()
+		go func() {
+			time.Sleep(3 * time.Second)
+			a.rows.SetDown(false)
+			b.rows.SetDown(false)
+		}()
+		a.manager.Leave(ctx, 2*time.Second)
+		w.finishes(b, s, time.Second)
+		if n := w.engines.begun(); n != len(s.Rollouts) {
+			t.Errorf("%d runs of %d rollouts", n, len(s.Rollouts))
+		}
+	})
+}
+
 func TestStoreOutageDelaysListingOnly(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a, b := w.boot("a"), w.boot("b")
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -94,7 +94,6 @@
 // Reasons for which a run of a rollout is cancelled.
 var (
 	errEnded   = errors.New("the job has ended")
-	errLeft    = errors.New("the job is handed over")
 	errSilent  = errors.New("the engine was silent")
 	errSlow    = errors.New("the engine is slower than its peers")
 	errStopped = errors.New("this host is stopping")
@@ -139,11 +138,12 @@
 	poke(r.wake)
 }
 
-// handOver saves what there is and gives the job up. It returns when that is done or ctx ends.
+// handOver saves what there is and gives the job up. It returns when that is
+// done or ctx ends. The generation goes on until the store has the new owner row:
+// while the store is away, no other host could go on with it.
 func (r *run) handOver(ctx context.Context) {
 	r.mu.Lock()
 	r.isLeft = true
-	r.stop(errLeft)
 	poke(r.wake)
 	r.mu.Unlock()
 	select {
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -58,14 +58,15 @@
 func (r *Rows) Put(id platform.RowID, value []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.apply(platform.RowTransaction{Writes: []platform.RowWrite{{RowID: id, Value: value}}})
+	// Without checks a transaction can't fail.
+	_, _ = r.apply(platform.RowTransaction{Writes: []platform.RowWrite{{RowID: id, Value: value}}})
 }
 
 // Delete removes a row as an operator or replica does.
 func (r *Rows) Delete(id platform.RowID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.apply(platform.RowTransaction{Writes: []platform.RowWrite{{RowID: id, Delete: true}}})
+	_, _ = r.apply(platform.RowTransaction{Writes: []platform.RowWrite{{RowID: id, Delete: true}}})
 }
 
 // Client returns a client of one host.
--- a/internal/swap/plan.go
+++ b/internal/swap/plan.go
@@ -52,7 +52,7 @@
 			loading++
 		}
 	}
-	var candidates []candidate
+	candidates := make([]candidate, 0, len(engines))
 	for model, need := range needs {
 		candidates = append(candidates, candidatesFor(engines, model, need, now)...)
 	}
