--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -206,7 +206,7 @@
 	h.cancel = cancel
 	for _, run := range []func(context.Context) error{
 		h.beat.Run, h.manager.Run,
-		follow.New(follow.Config{Table: roster.Table, Interval: 300 * time.Millisecond}, client, r, log).Run,
+		follow.New(follow.Config{Table: roster.Table, Parted: true, Interval: 300 * time.Millisecond}, client, r, log).Run,
 		follow.New(follow.Config{Table: TableJobs, Parted: true, Wait: time.Second, Interval: 25 * time.Millisecond}, client, h.manager, log).Run,
 	} {
 		h.done.Go(func() { _ = run(ctx) })
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -26,11 +26,33 @@
 	version   uint64
 	changed   chan struct{}
 	commits   int
+	// writeTime is how long a transaction takes; those of one part wait for each other.
+	writeTime time.Duration
+	busyUntil map[string]time.Time
 }
 
 // NewRows returns an empty row service.
 func NewRows() *Rows {
-	return &Rows{began: time.Now(), rows: map[platform.RowID]platform.VersionedRow{}, changed: make(chan struct{})}
+	return &Rows{began: time.Now(), rows: map[platform.RowID]platform.VersionedRow{}, changed: make(chan struct{}), busyUntil: map[string]time.Time{}}
+}
+
+// SetWriteTime makes each transaction take d; those of one part are done one after the other.
+func (r *Rows) SetWriteTime(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writeTime = d
+}
+
+// turn returns when a transaction of a part is done.
+func (r *Rows) turn(part string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.busyUntil[part].Before(now) {
+		r.busyUntil[part] = now
+	}
+	r.busyUntil[part] = r.busyUntil[part].Add(r.writeTime)
+	return r.busyUntil[part]
 }
 
 // Forget drops the history of changes.
@@ -245,10 +267,13 @@
 		})
 		return platform.Receipt{}, failure.New(failure.StoreInDoubt, "", "the store gave no answer")
 	}
+	if len(tx.Writes) > 0 {
+		time.Sleep(time.Until(c.rows.turn(tx.Writes[0].Part)))
+	}
 	c.rows.mu.Lock()
 	receipt, err := c.rows.apply(tx)
 	c.rows.mu.Unlock()
-	if lose {
+	if lose || ctx.Err() != nil {
 		return platform.Receipt{}, failure.New(failure.StoreInDoubt, "", "the store gave no answer")
 	}
 	return receipt, err
--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -16,7 +16,7 @@
 	// beatInterval is the time between two heartbeats.
 	beatInterval = 400 * time.Millisecond
 	// beatTimeout bounds one heartbeat; a lost one is made up by the next.
-	beatTimeout = 400 * time.Millisecond
+	beatTimeout = time.Second
 	// sweepEvery is the number of heartbeats between two removals of old rows.
 	sweepEvery = 25
 )
@@ -71,7 +71,7 @@
 func (h *Heartbeat) Remove(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	row := platform.RowID{Table: Table, Key: h.Self().ID}
+	row := rowID(h.Self().ID)
 	if _, err := h.rows.Commit(ctx, platform.RowTransaction{Writes: []platform.RowWrite{{RowID: row, Delete: true}}}); err != nil {
 		h.log.Info("host row is left to be forgotten", "error", err.Error())
 	}
@@ -89,8 +89,12 @@
 		h.log.Error(err, "heartbeat can't be encoded")
 		return
 	}
-	tx := platform.RowTransaction{Writes: []platform.RowWrite{{RowID: platform.RowID{Table: Table, Key: self.ID}, Value: value}}}
+	tx := platform.RowTransaction{Writes: []platform.RowWrite{{RowID: rowID(self.ID), Value: value}}}
+	sent := time.Now()
 	_, err = h.rows.Commit(ctx, tx)
+	if err == nil {
+		h.roster.SetDelay(time.Since(sent))
+	}
 	h.report(err)
 	if err == nil && self.Beat%sweepEvery == 0 {
 		h.sweep(ctx)
@@ -116,7 +120,7 @@
 	for _, row := range h.roster.Forgettable() {
 		tx := platform.RowTransaction{Checks: []platform.RowCheck{row}, Writes: []platform.RowWrite{{RowID: row.RowID, Delete: true}}}
 		if _, err := h.rows.Commit(ctx, tx); err != nil && !failure.IsKind(err, failure.Conflict) {
-			h.log.Info("row of a dead host is kept", "id", row.Key, "error", err.Error())
+			h.log.Info("row of a dead host is kept", "id", row.Part, "error", err.Error())
 			return
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,13 +12,21 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
-// Table is the table of heartbeat rows, one a host, in the empty part.
+// Table is the table of heartbeat rows. Each host has a part of its own, since
+// the service does the transactions of one part one after the other.
 const Table = "hosts"
 
+// rowID names a host's row.
+func rowID(host string) platform.RowID {
+	return platform.RowID{Table: Table, Part: host, Key: "heartbeat"}
+}
+
 const (
 	// DeadAfter is how long a row stands still before its host is held dead:
 	// three heartbeats and the time to see them.
 	DeadAfter = 1500 * time.Millisecond
+	// longestDelay bounds what a slow store adds to that.
+	longestDelay = 3 * time.Second
 	// lateAfter is how long a row may stand still for its host to get new work.
 	lateAfter = 900 * time.Millisecond
 	// longestGap is the longest time between two looks at the rows within which
@@ -69,6 +77,8 @@
 	fresh   []*entry
 	clock   time.Duration
 	asked   time.Time
+	// delay is added to the time after which a host is held dead.
+	delay time.Duration
 	dead    map[string]bool
 }
 
@@ -82,20 +92,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if row.Deleted {
-		delete(r.entries, row.Key)
-		delete(r.dead, row.Key)
+		delete(r.entries, row.Part)
+		delete(r.dead, row.Part)
 		return
 	}
 	var host Host
-	if err := json.Unmarshal(row.Value, &host); err != nil || host.ID != row.Key {
-		r.log.Info("host row can't be read", "key", row.Key, "version", row.Version)
+	if err := json.Unmarshal(row.Value, &host); err != nil || host.ID != row.Part {
+		r.log.Info("host row can't be read", "host", row.Part, "version", row.Version)
 		return
 	}
 	e := &entry{host: host, version: row.Version}
-	if old := r.entries[row.Key]; old == nil || old.host.Incarnation != host.Incarnation || old.host.State != host.State {
+	if old := r.entries[row.Part]; old == nil || old.host.Incarnation != host.Incarnation || old.host.State != host.State {
 		r.log.Info("host seen", "id", host.ID, "incarnation", host.Incarnation, "state", host.State)
 	}
-	r.entries[row.Key] = e
+	r.entries[row.Part] = e
 	r.fresh = append(r.fresh, e)
 }
 
@@ -114,7 +124,7 @@
 	r.fresh = r.fresh[:0]
 	r.clock, r.asked = now, asked
 	for id, e := range r.entries {
-		dead := now-e.seen > DeadAfter
+		dead := now-e.seen > DeadAfter+r.delay
 		if dead != r.dead[id] {
 			r.log.Info("host's heartbeat", "id", id, "dead", dead, "still_for", now-e.seen)
 		}
@@ -122,6 +132,14 @@
 	}
 }
 
+// SetDelay takes in how long the store takes for a write now: a slow store delays
+// the heartbeats of all.
+func (r *Roster) SetDelay(write time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = min(longestDelay, 2*write)
+}
+
 // Clock returns the store's clock at the last answer, and when that was asked for.
 func (r *Roster) Clock() (time.Duration, time.Time) {
 	r.mu.Lock()
@@ -163,7 +181,7 @@
 	var rows []platform.RowCheck
 	for id, e := range r.entries {
 		if r.clock-e.seen > forgetAfter {
-			rows = append(rows, platform.RowCheck{RowID: platform.RowID{Table: Table, Key: id}, Version: e.version})
+			rows = append(rows, platform.RowCheck{RowID: rowID(id), Version: e.version})
 		}
 	}
 	return rows
@@ -189,7 +207,7 @@
 	defer r.mu.Unlock()
 	var best uint64
 	for _, e := range r.entries {
-		if r.dead[e.host.ID] || e.host.State != Serving || r.clock-e.seen > lateAfter {
+		if r.dead[e.host.ID] || e.host.State != Serving || r.clock-e.seen > lateAfter+r.delay {
 			continue
 		}
 		if w := weight(key, e.host.ID); !ok || w > best {
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,178 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/follow"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
+)
+
+// node is one host with its heartbeat and its view of the others.
+type node struct {
+	id     string
+	rows   *platformtest.RowsClient
+	roster *Roster
+	beat   *Heartbeat
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func start(rows *platformtest.Rows, id, incarnation string) *node {
+	client := rows.Client()
+	r := New(logr.Discard())
+	n := &node{id: id, rows: client, roster: r, beat: NewHeartbeat(Host{ID: id, Incarnation: incarnation, Address: id}, client, r, logr.Discard())}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	follower := follow.New(follow.Config{Table: Table, Parted: true, Interval: 300 * time.Millisecond}, client, r, logr.Discard())
+	n.done.Go(func() { _ = n.beat.Run(ctx) })
+	n.done.Go(func() { _ = follower.Run(ctx) })
+	return n
+}
+
+func (n *node) stop() {
+	n.cancel()
+	n.done.Wait()
+}
+
+func startAll(rows *platformtest.Rows, count int) []*node {
+	nodes := make([]*node, count)
+	for i := range nodes {
+		nodes[i] = start(rows, fmt.Sprintf("host-%d", i), "one")
+	}
+	time.Sleep(2 * time.Second)
+	return nodes
+}
+
+func stopAll(nodes []*node) {
+	for _, n := range nodes {
+		n.stop()
+	}
+}
+
+func TestDeadHostIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startAll(platformtest.NewRows(), 3)
+		defer stopAll(nodes)
+		nodes[0].cancel()
+		time.Sleep(DeadAfter + time.Second)
+		if nodes[1].roster.Alive("host-0", "one") {
+			t.Error("a host without a heartbeat counts as alive")
+		}
+		if !nodes[1].roster.Alive("host-2", "one") || len(nodes[1].roster.Hosts()) != 2 {
+			t.Errorf("live hosts are %v", nodes[1].roster.Hosts())
+		}
+	})
+}
+
+func TestRestartedHostIsAnotherIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		nodes := startAll(rows, 2)
+		nodes[0].stop()
+		nodes[0] = start(rows, "host-0", "two")
+		defer stopAll(nodes)
+		time.Sleep(time.Second)
+		if nodes[1].roster.Alive("host-0", "one") || !nodes[1].roster.Alive("host-0", "two") {
+			t.Error("the old incarnation counts as alive, or the new one does not")
+		}
+	})
+}
+
+func TestOutageOfTheStoreKillsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startAll(platformtest.NewRows(), 4)
+		defer stopAll(nodes)
+		for _, n := range nodes {
+			n.rows.SetDown(true)
+		}
+		time.Sleep(10 * time.Second)
+		for _, n := range nodes {
+			n.rows.SetDown(false)
+		}
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range nodes {
+				if got := len(n.roster.Hosts()); got != len(nodes) {
+					t.Fatalf("%s sees %d of %d hosts after an outage", n.id, got, len(nodes))
+				}
+			}
+		}
+	})
+}
+
+// A store sixty times as slow takes half a second for a write. While all
+// heartbeats shared a part, they waited for each other and every host was held
+// dead by all others.
+func TestSlowStoreKillsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		nodes := startAll(rows, 12)
+		defer stopAll(nodes)
+		rows.SetWriteTime(480 * time.Millisecond)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range nodes {
+				if got := len(n.roster.Hosts()); got != len(nodes) {
+					t.Fatalf("%s sees %d of %d hosts while the store is slow", n.id, got, len(nodes))
+				}
+			}
+		}
+	})
+}
+
+func TestLeavingHostGetsNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startAll(platformtest.NewRows(), 3)
+		defer stopAll(nodes)
+		key := ""
+		for i := range 100 {
+			key = fmt.Sprint(i)
+			if id, _, _ := nodes[1].roster.First(key); id == "host-0" {
+				break
+			}
+		}
+		nodes[0].beat.SetDraining()
+		time.Sleep(time.Second)
+		if id, _, ok := nodes[1].roster.First(key); !ok || id == "host-0" {
+			t.Errorf("work goes to %q, %t", id, ok)
+		}
+		if !nodes[1].roster.Alive("host-0", "one") {
+			t.Error("a leaving host counts as dead while it hands its work over")
+		}
+	})
+}
+
+func TestRankIsAnOrderOfAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startAll(platformtest.NewRows(), 8)
+		defer stopAll(nodes)
+		firsts := map[string]int{}
+		for i := range 400 {
+			key := fmt.Sprintf("model-%d", i)
+			seen := map[int]bool{}
+			for _, n := range nodes {
+				seen[nodes[0].roster.Rank(key, n.id)] = true
+			}
+			if len(seen) != len(nodes) {
+				t.Fatalf("ranks of %s are %v", key, seen)
+			}
+			id, _, _ := nodes[0].roster.First(key)
+			if nodes[0].roster.Rank(key, id) != 0 {
+				t.Fatalf("the first host of %s has rank %d", key, nodes[0].roster.Rank(key, id))
+			}
+			firsts[id]++
+		}
+		for _, n := range nodes {
+			if firsts[n.id] < 20 {
+				t.Errorf("%s comes first for %d of 400 keys", n.id, firsts[n.id])
+			}
+		}
+	})
+}
--- a/internal/swap/lease.go
+++ b/internal/swap/lease.go
@@ -12,7 +12,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
-// Table is the table of leases, in the empty part.
+// Table is the table of leases, each in a part of its own.
 const Table = "leases"
 
 const (
@@ -187,7 +187,7 @@
 		l.log.Error(err, "lease row can't be encoded")
 		return false
 	}
-	id := platform.RowID{Table: Table, Key: keyWeights}
+	id := platform.RowID{Table: Table, Part: keyWeights, Key: keyWeights}
 	sent := time.Now()
 	receipt, err := l.rows.Commit(ctx, platform.RowTransaction{
 		Checks: []platform.RowCheck{{RowID: id, Version: version}},
@@ -214,7 +214,7 @@
 		l.log.V(1).Info("lease not written", "error", err.Error())
 		return
 	}
-	page, err := l.rows.Read(ctx, platform.RowRange{Table: Table, From: keyWeights, Limit: 1})
+	page, err := l.rows.Read(ctx, platform.RowRange{Table: Table, Part: keyWeights, Limit: 1})
 	if err != nil {
 		l.log.Info("lease can't be read", "error", err.Error())
 		return
