--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -120,6 +120,11 @@
 			r.Models[model] = version
 		}
 	}
+	for model, version := range r.Models {
+		if version > max(old.Models[model], old.seen[model]) {
+			delete(old.refusedUntil, model)
+		}
+	}
 	old.Replica = r
 	old.missingSince = time.Time{}
 	f.signal()
@@ -360,7 +365,13 @@
 
 // Versioned records the version of a model that an answer showed.
 func (f *Fleet) Versioned(id, model string, version uint64) {
-	f.with(id, func(m *member) { m.seen[model] = max(m.seen[model], version) })
+	f.with(id, func(m *member) {
+		if version > max(m.seen[model], m.Models[model]) {
+			// The load that the replica refused requests for has ended.
+			delete(m.refusedUntil, model)
+		}
+		m.seen[model] = max(m.seen[model], version)
+	})
 }
 
 // Free returns the free places of a service, as far as this host knows, and all of its places.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,14 +64,24 @@
 	ends    chan outcome
 	// unknown is true once a replica may have run the request.
 	unknown bool
+	// failures counts the answers of status 500.
+	failures int
 	// last is the latest answer with a failure of a replica's own.
 	last *fasthttp.Response
 	err  error
 }
 
+// Report says what a call took.
+type Report struct {
+	// Sent is the number of replicas that may have run the request.
+	Sent int
+	// Failures is the number of their answers that the request failed, status 500.
+	Failures int
+}
+
 // Handle forwards a request and fills resp with a replica's answer. The error is
 // a *failure.Error with outcome NotRun only if no replica ran the request or will.
-func (g *Gateway) Handle(ctx context.Context, call Call, resp *fasthttp.Response) error {
+func (g *Gateway) Handle(ctx context.Context, call Call, resp *fasthttp.Response) (Report, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-answerMargin))
 	defer cancel()
 	f := &forward{
@@ -83,13 +93,15 @@
 		e := failure.As(err)
 		g.log.Info("request failed", "id", call.ID, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
 			"outcome", e.Outcome, "sent", f.sent, "retry_after", e.RetryAfter, "error", e.Error())
-		return e
+		return f.report(), e
 	}
 	answer.CopyTo(resp)
 	fasthttp.ReleaseResponse(answer)
-	return nil
+	return f.report(), nil
 }
 
+func (f *forward) report() Report { return Report{Sent: f.sent, Failures: f.failures} }
+
 // run sends attempts until one brings an answer.
 func (f *forward) run(ctx context.Context) (*fasthttp.Response, error) {
 	giveUp := time.Now().Add(placeWait(f.call.Route))
@@ -175,6 +187,9 @@
 		f.fleet.Succeeded(end.target.ID)
 		f.fleet.Paced(end.target.ID, end.took)
 		f.unknown = true
+		if end.resp.StatusCode() == fasthttp.StatusInternalServerError {
+			f.failures++
+		}
 		if end.resp.StatusCode() < fasthttp.StatusInternalServerError || f.done() && f.flying == 0 {
 			return end.resp
 		}
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -367,14 +367,16 @@
 		a := w.boot("a")
 		w.scores.fail["score job.0"] = 1
 		w.scores.fail["score job.1"] = 100
-		s := spec("job", 2)
+		// One failure less than what ends a rollout.
+		w.scores.fail["score job.2"] = scoreFailures - 1
+		s := spec("job", 3)
 		w.accept(a, s)
 		results := w.finishes(a, s, 5*time.Second)
 		states := map[string]State{}
 		for _, r := range results {
 			states[r.ID] = r.State
 		}
-		if states["job.0"] != Completed || states["job.1"] != Dead {
+		if states["job.0"] != Completed || states["job.1"] != Dead || states["job.2"] != Completed {
 			t.Errorf("states are %v", states)
 		}
 	})
--- a/internal/job/ports.go
+++ b/internal/job/ports.go
@@ -32,11 +32,19 @@
 	Generate(ctx context.Context, target fleet.Replica, run Run, sink func(Event) error) error
 }
 
+// ScoreAnswer is what a scoring call brought.
+type ScoreAnswer struct {
+	// Signature is that of a successful answer.
+	Signature string
+	// Failures counts the replicas' answers that the call failed, and Allowed is
+	// how many of them end the rollout; zero if not known.
+	Failures, Allowed int
+}
+
 // Scorer calls the services that score rollouts.
 type Scorer interface {
-	// Score makes one call and returns the signature of a successful answer.
-	// UpstreamFailed with outcome Ran says that the service answered with a failure.
-	Score(ctx context.Context, call ScoreCall) (string, error)
+	// Score makes one call, at one or several replicas. The answer counts also where it fails.
+	Score(ctx context.Context, call ScoreCall) (ScoreAnswer, error)
 }
 
 // Rule is what the configuration in force says about a job's rollouts.
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 )
 
 const (
@@ -15,9 +13,6 @@
 	// scoringAtOnce bounds the scoring calls of a host in progress. Rollouts end in
 	// bursts, and the services that score them serve customers, too.
 	scoringAtOnce = 10
-	// scoreAttempts is how many calls, each tried at several replicas, may end
-	// with a failure of the service before the rollout is given up.
-	scoreAttempts = 2
 )
 
 // score has a whole text scored and hands the result on to be listed.
@@ -38,20 +33,17 @@
 	}
 	for r.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, scoreTimeout)
-		signature, err := r.m.scorer.Score(ctx, *it.rollout.Score)
+		answer, err := r.m.scorer.Score(ctx, *it.rollout.Score)
 		cancel()
 		if err == nil {
-			r.finish(it, completed(events, signature, it.rollout.Score.ID))
+			r.finish(it, completed(events, answer.Signature, it.rollout.Score.ID))
 			return
 		}
-		e := failure.As(err)
-		if e.Kind == failure.UpstreamFailed && e.Outcome == failure.Ran {
-			failures++
-		}
+		failures += answer.Failures
 		if r.ctx.Err() == nil {
 			r.log.Info("scoring failed", "rollout", it.rollout.ID, "failures", failures, "error", oneLine(err))
 		}
-		if failures >= scoreAttempts {
+		if answer.Allowed > 0 && failures >= answer.Allowed {
 			r.finish(it, Result{State: Dead})
 			return
 		}
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -119,15 +119,18 @@
 	calls map[string]int
 }
 
-func (s *scores) Score(_ context.Context, call ScoreCall) (string, error) {
+// scoreFailures is how many failures of its scoring call end a rollout.
+const scoreFailures = 4
+
+func (s *scores) Score(_ context.Context, call ScoreCall) (ScoreAnswer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[call.ID]++
 	if s.fail[call.ID] > 0 {
 		s.fail[call.ID]--
-		return "", failure.New(failure.UpstreamFailed, failure.Ran, "the service failed")
+		return ScoreAnswer{Failures: 1, Allowed: scoreFailures}, failure.New(failure.UpstreamFailed, failure.Ran, "the service failed")
 	}
-	return "signed " + call.ID, nil
+	return ScoreAnswer{Signature: "signed " + call.ID}, nil
 }
 
 // fixedRules is one rule for all jobs.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,7 +79,7 @@
 	asked   time.Time
 	// delay is added to the time after which a host is held dead.
 	delay time.Duration
-	dead    map[string]bool
+	dead  map[string]bool
 }
 
 // New returns an empty roster.
