--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,7 +223,7 @@
 	if left <= 0 {
 		return false
 	}
-	timer := time.NewTimer(min(left, 25*time.Millisecond))
+	timer := time.NewTimer(min(left, placePause))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -16,6 +16,8 @@
 	placeShare = 4
 	// longestPlaceWait bounds that wait.
 	longestPlaceWait = 500 * time.Millisecond
+	// placePause is the wait between two looks for a place.
+	placePause = 25 * time.Millisecond
 	// retrySoon is when a caller should come back if replicas are busy.
 	retrySoon = 300 * time.Millisecond
 	// answerMargin is how long before its deadline a request is given up, so that its caller hears of it in time.
