--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -11,6 +11,7 @@
 	"github.com/samber/do/v2"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/duty"
+	"github.com/sapphirehatch/sapphirehatch/internal/logline"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
 	"github.com/sapphirehatch/sapphirehatch/platform"
 )
@@ -44,7 +45,9 @@
 		return err
 	}
 	level := new(slog.LevelVar)
-	log, err := newLeveledLogger(out.Out, s.Log.Level, level)
+	lines := logline.New(out.Out)
+	defer lines.Close()
+	log, err := newLeveledLogger(lines, s.Log.Level, level)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 	"github.com/sapphirehatch/sapphirehatch/internal/routes"
+	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
 
 // Exchanger sends one request to one replica and reads the whole answer.
@@ -27,12 +28,13 @@
 	fleet     *fleet.Fleet
 	exchanger Exchanger
 	domain    string
+	events    *telemetry.Recorder
 	log       logr.Logger
 }
 
-// New returns a gateway of a host in a failure domain.
-func New(f *fleet.Fleet, exchanger Exchanger, domain string, log logr.Logger) *Gateway {
-	return &Gateway{fleet: f, exchanger: exchanger, domain: domain, log: log}
+// New returns a gateway of a host in a failure domain. events may be nil.
+func New(f *fleet.Fleet, exchanger Exchanger, domain string, events *telemetry.Recorder, log logr.Logger) *Gateway {
+	return &Gateway{fleet: f, exchanger: exchanger, domain: domain, events: events, log: log}
 }
 
 // Call is one request.
@@ -68,7 +70,9 @@
 	failures int
 	// last is the latest answer with a failure of a replica's own.
 	last *fasthttp.Response
-	err  error
+	// answeredBy is the replica of the latest answer.
+	answeredBy string
+	err        error
 }
 
 // Report says what a call took.
@@ -82,6 +86,7 @@
 // Handle forwards a request and fills resp with a replica's answer. The error is
 // a *failure.Error with outcome NotRun only if no replica ran the request or will.
 func (g *Gateway) Handle(ctx context.Context, call Call, resp *fasthttp.Response) (Report, error) {
+	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-answerMargin))
 	defer cancel()
 	f := &forward{
@@ -91,10 +96,13 @@
 	answer, err := f.run(ctx)
 	if err != nil {
 		e := failure.As(err)
+		g.events.Event("request_failed")
 		g.log.Info("request failed", "id", call.ID, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
 			"outcome", e.Outcome, "sent", f.sent, "retry_after", e.RetryAfter, "error", e.Error())
 		return f.report(), e
 	}
+	g.log.Info("request answered", "id", call.ID, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
+		"status", answer.StatusCode(), "sent", f.sent, "took", time.Since(began))
 	answer.CopyTo(resp)
 	fasthttp.ReleaseResponse(answer)
 	return f.report(), nil
@@ -173,6 +181,7 @@
 		return f.take(ctx, end)
 	case <-hedge:
 		if f.next(ctx) {
+			f.events.Event("second_replica_asked")
 			f.log.V(1).Info("second replica asked", "id", f.call.ID, "sent", f.sent)
 		}
 	case <-ctx.Done():
@@ -186,6 +195,8 @@
 	if end.err == nil {
 		f.fleet.Succeeded(end.target.ID)
 		f.fleet.Paced(end.target.ID, end.took)
+		f.events.Exchange("whole", end.took)
+		f.answeredBy = end.target.ID
 		f.unknown = true
 		if end.resp.StatusCode() == fasthttp.StatusInternalServerError {
 			f.failures++
@@ -198,6 +209,7 @@
 		return nil
 	}
 	f.err = end.err
+	f.events.Event("attempt_failed")
 	e := failure.As(end.err)
 	f.log.V(1).Info("attempt failed", "id", f.call.ID, "replica", end.target.ID, "kind", e.Kind, "outcome", e.Outcome, "took", end.took, "error", e.Error())
 	switch {
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -178,7 +178,11 @@
 	if p.rule.OnPolicy && it.had > 0 {
 		call.Version = it.events[0].Version
 	}
-	r.log.V(1).Info("rollout sent", "rollout", it.rollout.ID, "engine", target.ID, "after", it.had, "waited", time.Since(it.waitsSince))
+	r.m.events.Event("rollout_sent")
+	if it.had > 0 {
+		r.m.events.Event("rollout_resumed")
+	}
+	r.log.Info("rollout sent", "rollout", it.rollout.ID, "engine", target.ID, "after", it.had, "waited", time.Since(it.waitsSince))
 	r.mu.Unlock()
 	r.m.waits.Go(func() {
 		err := r.m.engine.Generate(ctx, target, call, func(e Event) error { return r.take(p, target, e) })
@@ -245,6 +249,7 @@
 		r.m.fleet.Refused(target.ID, r.spec.Model)
 	case e.Kind == failure.QueueFull:
 		r.m.fleet.Refused(target.ID, r.spec.Model)
+		r.m.events.Event("rollout_refused")
 		r.log.V(1).Info("engine refused", "rollout", it.rollout.ID, "engine", target.ID, "why", err.Error())
 		return
 	case e.Kind == failure.InvalidRequest:
@@ -262,6 +267,7 @@
 			r.m.fleet.Failed(target.ID)
 		}
 	}
+	r.m.events.Event("rollout_broken_off")
 	r.log.Info("run of a rollout ended early", "rollout", it.rollout.ID, "engine", target.ID, "events", len(it.events), "new", got,
 		"failures", it.failures, "error", oneLine(err))
 }
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
 
 const (
@@ -44,6 +45,7 @@
 	engine      Engine
 	scorer      Scorer
 	log         logr.Logger
+	events      *telemetry.Recorder
 
 	mu     sync.Mutex
 	demand func(model string, oldest uint64)
@@ -78,6 +80,8 @@
 	Scorer Scorer
 	// Demand is told the oldest version of a model\'s weights that its newest job allows; it may be nil.
 	Demand func(model string, oldest uint64)
+	// Events counts what happens; it may be nil.
+	Events *telemetry.Recorder
 	Log    logr.Logger
 }
 
@@ -85,7 +89,7 @@
 func NewManager(c Config) *Manager {
 	m := &Manager{
 		host: c.Host, incarnation: c.Incarnation, ownDomain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
-		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log,
+		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events,
 		demand: c.Demand, steps: map[string]int{}, jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
 		wake: make(chan struct{}, 1), dispatch: make(chan struct{}, 1), scoring: make(chan struct{}, scoringAtOnce),
 	}
@@ -260,6 +264,7 @@
 		m.log.Info("job not taken over", "job", id, "owner", before, "version", version, "error", err.Error())
 		return
 	}
+	m.events.Event("job_taken_over")
 	m.log.Info("job taken over", "job", id, "from", before, "version", receipt.Version, "listed", owner.Listed, "total", owner.Total)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -323,9 +328,11 @@
 		return nil
 	}
 	if err != nil {
+		m.events.Event("job_refused")
 		m.log.Info("job not accepted", "job", spec.ID, "error", err.Error())
 		return err
 	}
+	m.events.Event("job_accepted")
 	m.log.Info("job accepted", "job", spec.ID, "owner", owner.Host, "version", receipt.Version, "rollouts", len(spec.Rollouts),
 		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
 	m.mu.Lock()
@@ -399,6 +406,7 @@
 			return err
 		}
 	}
+	m.events.Event("job_ended")
 	m.log.Info("job ended", "job", id)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -411,6 +419,34 @@
 	return nil
 }
 
+// Load is what a host's jobs ask of it now.
+type Load struct {
+	Jobs, Waiting, Running int
+	// Oldest is the age of the oldest job that runs here.
+	Oldest time.Duration
+}
+
+// Load returns the present load.
+func (m *Manager) Load() Load {
+	clock := m.clock()
+	var load Load
+	for _, r := range m.activeRuns() {
+		r.mu.Lock()
+		load.Jobs++
+		load.Oldest = max(load.Oldest, clock-r.owner.accepted())
+		for _, it := range r.items {
+			switch it.state {
+			case waiting:
+				load.Waiting++
+			case running:
+				load.Running++
+			}
+		}
+		r.mu.Unlock()
+	}
+	return load
+}
+
 // Leave takes no further jobs, goes on with those that this host runs for a
 // while, and then gives up what is left, so that other hosts take it over at once.
 func (m *Manager) Leave(ctx context.Context, keep time.Duration) {
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -133,6 +133,7 @@
 		return
 	}
 	r.isLost = true
+	r.m.events.Event("job_lost")
 	r.log.Info("run lost", "reason", reason, "had_version", r.version, "has_version", version)
 	r.stop(errOwnerLost)
 	poke(r.wake)
@@ -274,6 +275,7 @@
 	r.mu.Lock()
 	for _, it := range r.ready[:p.count] {
 		it.state = listed
+		r.m.events.Event("rollout_" + string(it.result.State))
 		r.results = append(r.results, it.result)
 	}
 	r.log.Info("results listed", "from", r.owner.Listed, "to", p.owner.Listed, "total", p.owner.Total, "version", version)
@@ -392,6 +394,7 @@
 	}
 	switch {
 	case err == nil:
+		r.m.events.Event("job_handed_over")
 		r.log.Info("job handed over", "listed", owner.Listed, "total", owner.Total)
 		return false, false
 	case failure.IsKind(err, failure.Conflict):
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -41,6 +41,7 @@
 		}
 		failures += answer.Failures
 		if r.ctx.Err() == nil {
+			r.m.events.Event("scoring_failed")
 			r.log.Info("scoring failed", "rollout", it.rollout.ID, "failures", failures, "error", oneLine(err))
 		}
 		if answer.Allowed > 0 && failures >= answer.Allowed {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -51,9 +51,7 @@
 	// Incarnation differs between two processes of one host.
 	Incarnation string `json:"incarnation"`
 	// Address is the ip:port for callers.
-	Address string `json:"address"`
-	// RelayAddress is the ip:port for other hosts.
-	RelayAddress  string `json:"relay_address"`
+	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region"`
 	State         State  `json:"state"`
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -36,8 +36,8 @@
 	ReadyAddress string `ini:"ready_address" validate:"required,ipport"`
 	// EntryAddress is the TCP ip:port that tells callers which hosts to use.
 	EntryAddress string `ini:"entry_address" validate:"required,ipport"`
-	// RelayAddress is the TCP ip:port for other hosts and for metrics.
-	RelayAddress string `ini:"relay_address" validate:"required,ipport,nefield=CallerAddress"`
+	// MetricsAddress is the TCP ip:port of the metrics; empty serves none.
+	MetricsAddress string `ini:"metrics_address" validate:"omitempty,ipport,nefield=CallerAddress"`
 }
 
 // RowsPlatform is the [platform] section.
--- a/internal/swap/controller.go
+++ b/internal/swap/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
 
 const (
@@ -92,6 +93,7 @@
 	engines Engines
 	modes   Modes
 	atOnce  int
+	events  *telemetry.Recorder
 	log     logr.Logger
 
 	mu     sync.Mutex
@@ -101,9 +103,9 @@
 	began  time.Time
 }
 
-// NewController returns a controller that lets at most atOnce engines load at a time.
-func NewController(host string, lease *Lease, f *fleet.Fleet, engines Engines, modes Modes, atOnce int, log logr.Logger) *Controller {
-	return &Controller{host: host, lease: lease, fleet: f, engines: engines, modes: modes, atOnce: atOnce, log: log,
+// NewController returns a controller that lets at most atOnce engines load at a time. events may be nil.
+func NewController(host string, lease *Lease, f *fleet.Fleet, engines Engines, modes Modes, atOnce int, events *telemetry.Recorder, log logr.Logger) *Controller {
+	return &Controller{host: host, lease: lease, fleet: f, engines: engines, modes: modes, atOnce: atOnce, events: events, log: log,
 		needs: map[string]Need{}, states: map[string]*engineState{}}
 }
 
@@ -269,7 +271,9 @@
 		}
 	}
 	kv := []any{"engine", target.ID, "model", command.Model, "version", command.Version, "fence", command.Fence, "orders", command.Orders, "started", started}
+	c.events.Event("order_given")
 	if err != nil {
+		c.events.Event("order_failed")
 		kv = append(kv, "error", err.Error())
 	}
 	c.log.Info("order given", kv...)
--- a/internal/swap/controller_test.go
+++ b/internal/swap/controller_test.go
@@ -104,7 +104,7 @@
 			all.Put(fleet.Replica{ID: id, Service: "s", Address: id, Models: map[string]uint64{"m": 1}})
 		}
 		host := compete(platformtest.NewRows(), "0", "a")
-		c := NewController("0", host.lease, all, f, retain{}, 2, logr.Discard())
+		c := NewController("0", host.lease, all, f, retain{}, 2, nil, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		var done sync.WaitGroup
 		done.Go(func() { _ = c.Run(ctx) })
