--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -227,6 +227,20 @@
 	return members[chosen].copy(), nil
 }
 
+// Peek chooses a replica as Reserve does without counting a request there. It
+// returns also how much longer than its peers it takes; 1 is usual.
+func (f *Fleet) Peek(want Want) (id string, pace float64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	_, replicas := f.candidates(want, now)
+	chosen := placement.Choose(want.Request, replicas, now)
+	if chosen < 0 {
+		return "", 0, false
+	}
+	return replicas[chosen].ID, replicas[chosen].Pace, true
+}
+
 // candidates returns the replicas of a service in random order, so that hosts with the same knowledge spread.
 func (f *Fleet) candidates(want Want, now time.Time) ([]*member, []placement.Replica) {
 	var members []*member
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -172,7 +172,7 @@
 	}
 	it := p.it
 	ctx, cancel := context.WithCancelCause(r.ctx)
-	it.state, it.engine, it.stop = running, target.ID, cancel
+	it.state, it.engine, it.stop, it.leaves = running, target.ID, cancel, false
 	it.had, it.lastEvent = len(it.events), time.Now()
 	call := Run{Rollout: it.rollout, Host: r.spec.Host, Model: r.spec.Model, After: it.had, Priority: p.rule.Priority}
 	if p.rule.OnPolicy && it.had > 0 {
@@ -243,6 +243,7 @@
 		r.m.fleet.Failed(target.ID)
 		err = cause
 	case errors.Is(cause, errSlow):
+		r.m.events.Event("rollout_moved")
 		it.avoid = map[string]bool{target.ID: true}
 		err = cause
 	case errors.Is(err, errStaleVersion):
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -53,7 +53,9 @@
 	lastEvent time.Time
 	had       int
 	stop      context.CancelCauseFunc
-	result    Result
+	// leaves is true once the present run was ended to go on elsewhere.
+	leaves bool
+	result Result
 }
 
 // pendingList is a listing whose fate is not known yet.
--- a/internal/job/watch.go
+++ b/internal/job/watch.go
@@ -19,6 +19,39 @@
 	return silence > firstPatience
 }
 
+const (
+	// slowPace is how much longer than its peers an engine takes before its runs
+	// are moved to another.
+	slowPace = 1.8
+	// movePace is the most that the other may take.
+	movePace = 1.4
+	// moveEvents is the least number of expected events for which a move pays: the
+	// other engine reads the prompt and the text again.
+	moveEvents = 4
+	// stayEvents is the least number of events that an engine is given before it is left.
+	stayEvents = 3
+)
+
+// Worth reports whether a run is better moved to an engine with a free place.
+// from and to are the engines' paces relative to their peers, got is the number
+// of events of this run, and left that of those still expected; a rollout that is
+// longer than expected is likely to go on for as long again.
+//
+// Load pattern: an engine turns slow while it holds the longest rollouts of a job,
+// and the trainer waits for them alone while other engines have free places.
+func Worth(from, to float64, got int, left float64) bool {
+	return from >= slowPace && to <= movePace && got >= stayEvents && left >= moveEvents
+}
+
+// left is the expected number of events of a rollout that are still to come.
+func (it *item) left() float64 {
+	have := float64(len(it.events))
+	if expected := it.expected(); expected > have {
+		return expected - have
+	}
+	return have / 2
+}
+
 // watchRuns ends runs on silent engines and gives up rollouts whose time is over.
 func (m *Manager) watchRuns() {
 	clock := m.clock()
@@ -41,8 +74,24 @@
 				}
 			case it.state == running && Silent(now.Sub(it.lastEvent), len(it.events) > it.had):
 				it.stop(errSilent)
+			case it.state == running && !it.leaves && found && m.worthMoving(r, it, rule, now):
+				it.leaves = true
+				it.stop(errSlow)
 			}
 		}
 		r.mu.Unlock()
 	}
 }
+
+// worthMoving reports whether a running rollout is better moved now. The caller holds the run's mu.
+func (m *Manager) worthMoving(r *run, it *item, rule Rule, now time.Time) bool {
+	from := m.fleet.Pace(it.engine)
+	if from < slowPace {
+		return false
+	}
+	want := place{run: r, it: it, rule: rule}.want(m, now)
+	want.Avoid = map[string]bool{it.engine: true}
+	want.Queue = false
+	target, pace, ok := m.fleet.Peek(want)
+	return ok && target != it.engine && Worth(from, pace, len(it.events)-it.had, it.left())
+}
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -41,17 +41,21 @@
 	from map[string][]int
 	// refuse makes an engine refuse so many runs.
 	refuse map[string]int
+	// slow engines take so many times as long for an event.
+	slow map[string]int
+	// length is the number of events of each rollout.
+	length int
 }
 
 func newEngines() *engines {
-	return &engines{version: map[string]uint64{}, silent: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, from: map[string][]int{}, refuse: map[string]int{}}
+	return &engines{version: map[string]uint64{}, silent: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, from: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, length: testEvents}
 }
 
 func (e *engines) Generate(ctx context.Context, target fleet.Replica, run Run, sink func(Event) error) error {
 	e.mu.Lock()
 	version := max(1, e.version[target.ID])
 	silent, failing := e.silent[target.ID], e.failing[target.ID]
-	cut := e.cutAt[run.Rollout.ID]
+	cut, length, pace := e.cutAt[run.Rollout.ID], e.length, testPace*time.Duration(max(1, e.slow[target.ID]))
 	delete(e.cutAt, run.Rollout.ID)
 	refused := e.refuse[target.ID] > 0 || run.Version != 0 && run.Version != version
 	if refused {
@@ -67,12 +71,12 @@
 	if failing {
 		return failure.New(failure.UpstreamFailed, failure.Ran, "engine %s failed", target.ID)
 	}
-	for n := run.After + 1; n <= testEvents; n++ {
+	for n := run.After + 1; n <= length; n++ {
 		if silent {
 			<-ctx.Done()
 		}
 		select {
-		case <-time.After(testPace):
+		case <-time.After(pace):
 		case <-ctx.Done():
 			return failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "the run was cancelled")
 		}
@@ -104,8 +108,8 @@
 func eventText(rollout string, n int) string { return fmt.Sprintf("%s-%d", rollout, n) }
 
 // wholeText is the text of a rollout that is whole.
-func wholeText(rollout string) string {
-	lines := make([]string, testEvents)
+func (w *world) wholeText(rollout string) string {
+	lines := make([]string, w.engines.length)
 	for i := range lines {
 		lines[i] = eventText(rollout, i+1)
 	}
@@ -285,7 +289,7 @@
 			w.t.Errorf("rollout %s is listed twice", r.ID)
 		}
 		seen[r.ID] = true
-		if r.State == Completed && r.Text != wholeText(r.ID) {
+		if r.State == Completed && r.Text != w.wholeText(r.ID) {
 			w.t.Errorf("text of %s is %q", r.ID, r.Text)
 		}
 		if r.State == Completed && r.Score != "signed score "+r.ID {
