--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -174,7 +174,7 @@
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	it.state, it.engine, it.stop, it.leaves = running, target.ID, cancel, false
 	it.had, it.lastEvent = len(it.events), time.Now()
-	call := Run{Rollout: it.rollout, Host: r.spec.Host, Model: r.spec.Model, After: it.had, Priority: p.rule.Priority}
+	call := Run{Rollout: it.rollout, Host: r.spec.Host, Model: r.spec.Model, After: it.had}
 	if p.rule.OnPolicy && it.had > 0 {
 		call.Version = it.events[0].Version
 	}
--- a/internal/job/ports.go
+++ b/internal/job/ports.go
@@ -17,8 +17,6 @@
 	After int
 	// Version demands a version of the weights; zero accepts any.
 	Version uint64
-	// Priority is the rank of the job's route, 0 first.
-	Priority int
 }
 
 // Engine runs rollouts.
