--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,8 +27,9 @@
 	longestPause = 4 * time.Second
 	// loadTerm is the age at which a reported load counts about a third.
 	loadTerm = 700 * time.Millisecond
-	// paceWeight is the weight of a new measurement in a replica's pace.
-	paceWeight = 0.25
+	// paceWeight is the weight of a new measurement in a replica's pace; an engine
+	// brings some hundred a second.
+	paceWeight = 0.1
 	// paceTerm is how long a pace is believed.
 	paceTerm = 8 * time.Second
 )
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -50,12 +50,14 @@
 	mu     sync.Mutex
 	demand func(model string, oldest uint64)
 	// steps are the newest steps seen by model.
-	steps   map[string]int
-	jobs    map[string]*known
-	runs    map[string]*run
-	caught  time.Time
-	leaving bool
-	changed chan struct{}
+	steps map[string]int
+	// slowSince is since when engines are slow; only placeRollouts uses it.
+	slowSince map[string]time.Time
+	jobs      map[string]*known
+	runs      map[string]*run
+	caught    time.Time
+	leaving   bool
+	changed   chan struct{}
 
 	wake     chan struct{}
 	dispatch chan struct{}
@@ -90,7 +92,7 @@
 	m := &Manager{
 		host: c.Host, incarnation: c.Incarnation, ownDomain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
 		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events,
-		demand: c.Demand, steps: map[string]int{}, jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
+		demand: c.Demand, steps: map[string]int{}, slowSince: map[string]time.Time{}, jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
 		wake: make(chan struct{}, 1), dispatch: make(chan struct{}, 1), scoring: make(chan struct{}, scoringAtOnce),
 	}
 	m.ctx, m.stop = context.WithCancel(context.Background())
--- a/internal/job/watch.go
+++ b/internal/job/watch.go
@@ -23,6 +23,9 @@
 	// slowPace is how much longer than its peers an engine takes before its runs
 	// are moved to another.
 	slowPace = 1.8
+	// slowTerm is how long an engine must have been slow: while a burst of prompts
+	// is read, events are late everywhere, but not for long.
+	slowTerm = 400 * time.Millisecond
 	// movePace is the most that the other may take.
 	movePace = 1.4
 	// moveEvents is the least number of expected events for which a move pays: the
@@ -56,6 +59,7 @@
 func (m *Manager) watchRuns() {
 	clock := m.clock()
 	now := time.Now()
+	m.watchEngines(now)
 	for _, r := range m.activeRuns() {
 		r.mu.Lock()
 		if !r.prepared {
@@ -83,15 +87,44 @@
 	}
 }
 
+// watchEngines records since when the engines of running rollouts are slow.
+// Only placeRollouts calls it.
+func (m *Manager) watchEngines(now time.Time) {
+	seen := map[string]bool{}
+	for _, r := range m.activeRuns() {
+		r.mu.Lock()
+		for _, it := range r.items {
+			if it.state == running {
+				seen[it.engine] = true
+			}
+		}
+		r.mu.Unlock()
+	}
+	for id := range m.slowSince {
+		if !seen[id] {
+			delete(m.slowSince, id)
+		}
+	}
+	for id := range seen {
+		_, known := m.slowSince[id]
+		switch slow := m.fleet.Pace(id) >= slowPace; {
+		case slow && !known:
+			m.slowSince[id] = now
+		case !slow:
+			delete(m.slowSince, id)
+		}
+	}
+}
+
 // worthMoving reports whether a running rollout is better moved now. The caller holds the run's mu.
 func (m *Manager) worthMoving(r *run, it *item, rule Rule, now time.Time) bool {
-	from := m.fleet.Pace(it.engine)
-	if from < slowPace {
+	since, slow := m.slowSince[it.engine]
+	if !slow || now.Sub(since) < slowTerm {
 		return false
 	}
 	want := place{run: r, it: it, rule: rule}.want(m, now)
 	want.Avoid = map[string]bool{it.engine: true}
 	want.Queue = false
 	target, pace, ok := m.fleet.Peek(want)
-	return ok && target != it.engine && Worth(from, pace, len(it.events)-it.had, it.left())
+	return ok && target != it.engine && Worth(m.fleet.Pace(it.engine), pace, len(it.events)-it.had, it.left())
 }
