--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -196,8 +196,10 @@
 
 // Reconcile starts what this host owns and takes over what nobody runs.
 func (m *Manager) Reconcile(ctx context.Context) {
+	// Before the other hosts are known, every owner would look dead.
+	_, sawHosts := m.hosts.Clock()
 	m.mu.Lock()
-	if m.caught.IsZero() || m.leaving {
+	if m.caught.IsZero() || sawHosts.IsZero() || m.leaving {
 		m.mu.Unlock()
 		return
 	}
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -129,6 +129,21 @@
 	})
 }
 
+// A host that had just been added knew the jobs before it knew the other hosts,
+// held all owners dead, and took every job over.
+func TestNewHostTakesNothingBeforeItKnowsTheOthers(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a := w.boot("a")
+		s := spec("job", 24)
+		w.accept(a, s)
+		w.bootBlind("b", 500*time.Millisecond)
+		if owner, _ := w.sides(s.ID); owner != a {
+			t.Error("the new host took the job of a live owner over")
+		}
+		w.finishes(a, s, 4*time.Second)
+	})
+}
+
 func TestAllHostsLosePowerRightAfterAcceptance(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a, b := w.boot("a"), w.boot("b")
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -192,7 +192,10 @@
 }
 
 // boot starts a process of a host.
-func (w *world) boot(id string) *host {
+func (w *world) boot(id string) *host { return w.bootBlind(id, 0) }
+
+// bootBlind starts a process of a host that sees the other hosts only after a while.
+func (w *world) bootBlind(id string, blind time.Duration) *host {
 	w.boots++
 	client := w.rows.Client()
 	log := logr.Discard()
@@ -213,7 +216,10 @@
 	h.cancel = cancel
 	for _, run := range []func(context.Context) error{
 		h.beat.Run, h.manager.Run,
-		follow.New(follow.Config{Table: roster.Table, Parted: true, Interval: 300 * time.Millisecond}, client, r, log).Run,
+		func(ctx context.Context) error {
+			time.Sleep(blind)
+			return follow.New(follow.Config{Table: roster.Table, Parted: true, Interval: 300 * time.Millisecond}, client, r, log).Run(ctx)
+		},
 		follow.New(follow.Config{Table: TableJobs, Parted: true, Wait: time.Second, Interval: 25 * time.Millisecond}, client, h.manager, log).Run,
 	} {
 		h.done.Go(func() { _ = run(ctx) })
