--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -102,6 +102,3 @@
 
 // accepted returns the store's clock at the acceptance.
 func (o Owner) accepted() time.Duration { return time.Duration(o.AcceptedMS) * time.Millisecond }
-
-// Retention is how long a job is kept after its acceptance.
-const Retention = 180 * time.Second
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -46,6 +46,7 @@
 	scorer      Scorer
 	log         logr.Logger
 	events      *telemetry.Recorder
+	retention   time.Duration
 
 	mu     sync.Mutex
 	demand func(model string, oldest uint64)
@@ -82,6 +83,8 @@
 	Scorer Scorer
 	// Demand is told the oldest version of a model\'s weights that its newest job allows; it may be nil.
 	Demand func(model string, oldest uint64)
+	// Retention is how long a job that is over is kept after its acceptance; zero keeps it.
+	Retention time.Duration
 	// Events counts what happens; it may be nil.
 	Events *telemetry.Recorder
 	Log    logr.Logger
@@ -91,7 +94,7 @@
 func NewManager(c Config) *Manager {
 	m := &Manager{
 		host: c.Host, incarnation: c.Incarnation, ownDomain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
-		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events,
+		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events, retention: c.Retention,
 		demand: c.Demand, steps: map[string]int{}, slowSince: map[string]time.Time{}, jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
 		wake: make(chan struct{}, 1), dispatch: make(chan struct{}, 1), scoring: make(chan struct{}, scoringAtOnce),
 	}
@@ -179,6 +182,7 @@
 // Run takes over jobs and places rollouts until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
 	m.waits.Go(func() { m.placeRollouts(ctx) })
+	m.waits.Go(func() { m.sweepJobs(ctx) })
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -463,6 +463,26 @@
 	})
 }
 
+func TestOldJobsAreForgotten(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a, b := w.boot("a"), w.boot("b")
+		over := spec("over", 4)
+		w.accept(a, over)
+		w.finishes(b, over, 5*time.Second)
+		time.Sleep(80 * time.Second)
+		w.finishes(b, over, time.Second)
+		time.Sleep(30 * time.Second)
+		for _, h := range []*host{a, b} {
+			if _, err := h.manager.Results(context.Background(), over.ID, 0, 0); !failure.IsKind(err, failure.NotFound) {
+				t.Errorf("an old job is %v", err)
+			}
+		}
+		if left := w.rows.Count(over.ID); left != 0 {
+			t.Errorf("%d rows of an old job are left", left)
+		}
+	})
+}
+
 func TestForgottenHistoryIsReadAgain(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a, b := w.boot("a"), w.boot("b")
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -275,12 +275,15 @@
 // listedAs takes in that a listing took effect.
 func (r *run) listedAs(p *pendingList, version uint64) {
 	r.mu.Lock()
+	ids := make([]string, 0, p.count)
 	for _, it := range r.ready[:p.count] {
 		it.state = listed
+		ids = append(ids, it.rollout.ID)
 		r.m.events.Event("rollout_" + string(it.result.State))
 		r.results = append(r.results, it.result)
 	}
-	r.log.Info("results listed", "from", r.owner.Listed, "to", p.owner.Listed, "total", p.owner.Total, "version", version)
+	r.log.Info("results listed", "from", r.owner.Listed, "to", p.owner.Listed, "total", p.owner.Total, "version", version,
+		"rollouts", strings.Join(ids, ","))
 	r.ready = r.ready[p.count:]
 	r.owner, r.version, r.pending = p.owner, version, nil
 	owner := r.owner
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -36,6 +36,7 @@
 		answer, err := r.m.scorer.Score(ctx, *it.rollout.Score)
 		cancel()
 		if err == nil {
+			r.log.Info("rollout scored", "rollout", it.rollout.ID, "call", it.rollout.Score.ID, "events", len(events), "failures", failures)
 			r.finish(it, completed(events, answer.Signature, it.rollout.Score.ID))
 			return
 		}
@@ -45,6 +46,7 @@
 			r.log.Info("scoring failed", "rollout", it.rollout.ID, "failures", failures, "error", oneLine(err))
 		}
 		if answer.Allowed > 0 && failures >= answer.Allowed {
+			r.log.Info("rollout given up", "rollout", it.rollout.ID, "reason", "its scoring call failed", "failures", failures, "allowed", answer.Allowed)
 			r.finish(it, Result{State: Dead})
 			return
 		}
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -210,7 +210,7 @@
 	}
 	h.manager = NewManager(Config{
 		Host: id, Incarnation: self.Incarnation, Rows: client, Hosts: r, Rules: w.rules, Fleet: h.fleet,
-		Engine: w.engines, Scorer: w.scores, Log: log,
+		Engine: w.engines, Scorer: w.scores, Retention: time.Minute, Log: log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -69,6 +69,19 @@
 	return r.commits
 }
 
+// Count returns the number of rows of a part, over all tables.
+func (r *Rows) Count(part string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for id := range r.rows {
+		if id.Part == part {
+			n++
+		}
+	}
+	return n
+}
+
 // Row returns a row as it stands.
 func (r *Rows) Row(id platform.RowID) platform.VersionedRow {
 	r.mu.Lock()
