--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -15,5 +15,5 @@
 	if err != nil {
 		return err
 	}
-	return demo.Run(ctx, demo.Config{Out: out.Out, Log: log, RunHost: runHost})
+	return demo.Run(ctx, demo.Config{Out: out.Out, Log: log, RunHost: runHost, RunRowsHost: serveRows})
 }
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -51,17 +51,22 @@
 	if err != nil {
 		return err
 	}
-	group, err := platform.NewHost(s, log)
-	if err != nil {
-		return err
-	}
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	go reloadAt(ctx, hangups, path, s, level, log)
+	return serveRows(ctx, s, log)
+}
+
+// serveRows runs an entry host on a platform with a row service until ctx ends.
+func serveRows(ctx context.Context, s *settings.Rows, log logr.Logger) error {
+	group, err := platform.NewHost(s, log)
+	if err != nil {
+		return err
+	}
 	log.Info("host starts", "host", s.Host.ID, "domain", s.Host.FailureDomain, "address", s.Host.CallerAddress)
 	err = group.Run(ctx)
-	log.Info("host stops")
+	log.Info("host stops", "host", s.Host.ID)
 	return err
 }
 
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -22,6 +22,7 @@
 	Service  standinService  `cmd:"" help:"Run a plain service that echoes its requests."`
 	Trainer  standinTrainer  `cmd:"" help:"Run a trainer."`
 	Scorer   standinScorer   `cmd:"" help:"Run a service that scores rollouts."`
+	Rows     standinRows     `cmd:"" help:"Run a platform with a row service, its engines and its services."`
 }
 
 type standinPlatform struct {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -27,10 +27,14 @@
 // RunHost runs one entry host until ctx ends.
 type RunHost func(ctx context.Context, s *settings.Settings, log logr.Logger) error
 
+// RunRowsHost runs one entry host on a platform with a row service until ctx ends.
+type RunRowsHost func(ctx context.Context, s *settings.Rows, log logr.Logger) error
+
 // Config describes a run.
 type Config struct {
-	RunHost RunHost
-	Log     logr.Logger
+	RunHost     RunHost
+	RunRowsHost RunRowsHost
+	Log         logr.Logger
 	// Out receives the progress and the summary.
 	Out io.Writer
 }
@@ -97,6 +101,10 @@
 	}
 	d.progress("ran %d training steps", len(d.report.Trainer.Steps))
 	d.report.checkBookings(emulated.runs())
+	if err := d.runJob(ctx); err != nil {
+		return err
+	}
+	d.progress("ran a job of %d rollouts whose first host lost its platform", jobRollouts)
 	return nil
 }
 
--- a/internal/demo/hosts.go
+++ b/internal/demo/hosts.go
@@ -57,8 +57,9 @@
 	return hosts, nil
 }
 
-func chooseAddresses(host *settings.Host) error {
-	for _, address := range []*string{&host.CallerAddress, &host.AdminAddress} {
+// chooseTCP sets each address to a free loopback port of its own.
+func chooseTCP(addresses ...*string) error {
+	for _, address := range addresses {
 		listener, err := net.Listen("tcp4", loopback)
 		if err != nil {
 			return failure.Wrap(err, failure.Internal, "", "no free TCP port")
@@ -66,6 +67,13 @@
 		*address = listener.Addr().String()
 		defer func() { _ = listener.Close() }()
 	}
+	return nil
+}
+
+func chooseAddresses(host *settings.Host) error {
+	if err := chooseTCP(&host.CallerAddress, &host.AdminAddress); err != nil {
+		return err
+	}
 	conn, err := net.ListenPacket("udp4", loopback)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "", "no free UDP port")
--- /dev/null
+++ b/internal/demo/jobs.go
@@ -0,0 +1,171 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/settings"
+	"github.com/sapphirehatch/sapphirehatch/platform/standin"
+)
+
+const (
+	jobRollouts = 12
+	jobEngines  = 2
+	jobServices = 2
+	jobSlots    = 8
+	jobEvents   = 10
+	jobPace     = 50 * time.Millisecond
+	jobHosts    = 2
+	jobID       = "demo-job"
+	jobTimeout  = 20 * time.Second
+	jobPoll     = 50 * time.Millisecond
+)
+
+// jobDemo runs a job on a platform with a row service. The host that the job was
+// handed to loses the platform while it runs.
+type jobDemo struct {
+	*demo
+	store *standin.Store
+	doors []*standin.Door
+	hosts []*settings.Rows
+}
+
+// runJob demonstrates a job.
+func (d *demo) runJob(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	j := &jobDemo{demo: d, store: standin.NewStore()}
+	d.startStandin("row platform", func(ctx context.Context) error {
+		<-ctx.Done()
+		for _, door := range j.doors {
+			door.Close()
+		}
+		return nil
+	})
+	if err := j.startReplicas(); err != nil {
+		return err
+	}
+	for i := range jobHosts {
+		if err := j.startHost(fmt.Sprintf("job-host-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	if err := j.submit(ctx); err != nil {
+		return err
+	}
+	j.doors[0].SetDown(true)
+	return j.read(ctx)
+}
+
+func (j *jobDemo) startReplicas() error {
+	for i := range jobEngines {
+		engine, err := j.store.NewEngine(fmt.Sprintf("job-engine-%d", i+1), standin.EngineService, jobSlots, standin.Model)
+		if err != nil {
+			return err
+		}
+		engine.Events, engine.Pace = jobEvents, jobPace
+	}
+	for i := range jobServices {
+		if _, err := j.store.NewService(fmt.Sprintf("job-service-%d", i+1), standin.PlainService, jobSlots); err != nil {
+			return err
+		}
+	}
+	j.store.Configure(1, "")
+	return nil
+}
+
+func (j *jobDemo) startHost(id string) error {
+	door, err := j.store.Open()
+	if err != nil {
+		return err
+	}
+	s := settings.DefaultRows()
+	s.Host.ID, s.Host.FailureDomain = id, "local"
+	s.Platform = settings.RowsPlatform{Adapter: settings.AdapterRows, Address: door.Address()}
+	if err := chooseTCP(&s.Host.CallerAddress, &s.Host.ReadyAddress, &s.Host.EntryAddress); err != nil {
+		return err
+	}
+	j.doors, j.hosts = append(j.doors, door), append(j.hosts, s)
+	j.running.start(id, withHosts, func(ctx context.Context) error { return j.cfg.RunRowsHost(ctx, s, j.cfg.Log) })
+	return nil
+}
+
+// call sends a request to a host; an error or another status than want is an error.
+func (j *jobDemo) call(ctx context.Context, host int, method, path string, body []byte, want int) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+j.hosts[host].Host.CallerAddress+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, "", "request can't be made")
+	}
+	req.Host = standin.HostName
+	req.Header.Set(standin.HeaderID, jobID)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.UpstreamUnreachable, failure.Unknown, "host %d does not answer", host+1)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != want {
+		return nil, failure.New(failure.UpstreamFailed, failure.Unknown, "host %d answered %d to %s", host+1, resp.StatusCode, path)
+	}
+	return text, nil
+}
+
+// submit hands the job in until a host accepts it.
+func (j *jobDemo) submit(ctx context.Context) error {
+	body := standin.Submission(jobID, jobRollouts, 0, 0)
+	for {
+		_, err := j.call(ctx, 0, http.MethodPost, "/jobs/submit", body, http.StatusAccepted)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(jobPoll)
+	}
+}
+
+// read reads all results at the second host and checks them.
+func (j *jobDemo) read(ctx context.Context) error {
+	seen := map[string]bool{}
+	for next := 0; next < jobRollouts; {
+		text, err := j.call(ctx, 1, http.MethodGet, fmt.Sprintf("%s%s?after=%d", standin.PathJobs, jobID, next), nil, http.StatusOK)
+		if ctx.Err() != nil {
+			j.report.broken("job: %d of %d results were listed in time", next, jobRollouts)
+			return nil
+		}
+		if err != nil {
+			time.Sleep(jobPoll)
+			continue
+		}
+		var page struct {
+			Next    int `json:"next"`
+			Results []struct {
+				ID, State, Text string
+			} `json:"results"`
+		}
+		if err := json.Unmarshal(text, &page); err != nil {
+			return failure.Wrap(err, failure.IncompleteAnswer, failure.Unknown, "results can't be read")
+		}
+		for _, r := range page.Results {
+			if seen[r.ID] {
+				j.report.broken("rollout %s is listed twice", r.ID)
+			}
+			seen[r.ID] = true
+			if r.State != "completed" || r.Text != standin.Text(r.ID, jobEvents) {
+				j.report.broken("rollout %s is %s with the text %q", r.ID, r.State, r.Text)
+			}
+		}
+		if next = page.Next; len(page.Results) == 0 {
+			time.Sleep(jobPoll)
+		}
+	}
+	j.report.JobResults = len(seen)
+	return nil
+}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -21,6 +21,8 @@
 	Resent int
 	// Trainer is the trainer's own account.
 	Trainer standinapi.TrainerResults
+	// JobResults counts the results of the job that were listed.
+	JobResults int
 	// Broken lists the promises that did not hold.
 	Broken []string
 }
@@ -72,6 +74,7 @@
 	for _, step := range r.Trainer.Steps {
 		p("  training step %d       %d samples, waited %d ms, oldest %d versions behind", step.Step, step.Samples, step.IdleMillis, step.MaxStaleness)
 	}
+	p("  job                   %d of %d results", r.JobResults, jobRollouts)
 	if len(r.Broken) == 0 {
 		p("  promises              all held")
 		return
--- a/scenario/http_test.go
+++ b/scenario/http_test.go
@@ -71,6 +71,7 @@
 		return "", err
 	}
 	req.Header = c.header
+	req.Host = c.header.Get("Host")
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
