--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -11,7 +11,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
-	"github.com/sapphirehatch/sapphirehatch/platform/standin"
+	rowsstandin "github.com/sapphirehatch/sapphirehatch/platform/standin"
 )
 
 const (
@@ -31,8 +31,8 @@
 // handed to loses the platform while it runs.
 type jobDemo struct {
 	*demo
-	store *standin.Store
-	doors []*standin.Door
+	store *rowsstandin.Store
+	doors []*rowsstandin.Door
 	hosts []*settings.Rows
 }
 
@@ -40,7 +40,7 @@
 func (d *demo) runJob(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
-	j := &jobDemo{demo: d, store: standin.NewStore()}
+	j := &jobDemo{demo: d, store: rowsstandin.NewStore()}
 	d.startStandin("row platform", func(ctx context.Context) error {
 		<-ctx.Done()
 		for _, door := range j.doors {
@@ -65,14 +65,14 @@
 
 func (j *jobDemo) startReplicas() error {
 	for i := range jobEngines {
-		engine, err := j.store.NewEngine(fmt.Sprintf("job-engine-%d", i+1), standin.EngineService, jobSlots, standin.Model)
+		engine, err := j.store.NewEngine(fmt.Sprintf("job-engine-%d", i+1), rowsstandin.EngineService, jobSlots, rowsstandin.Model)
 		if err != nil {
 			return err
 		}
 		engine.Events, engine.Pace = jobEvents, jobPace
 	}
 	for i := range jobServices {
-		if _, err := j.store.NewService(fmt.Sprintf("job-service-%d", i+1), standin.PlainService, jobSlots); err != nil {
+		if _, err := j.store.NewService(fmt.Sprintf("job-service-%d", i+1), rowsstandin.PlainService, jobSlots); err != nil {
 			return err
 		}
 	}
@@ -102,8 +102,8 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "", "request can't be made")
 	}
-	req.Host = standin.HostName
-	req.Header.Set(standin.HeaderID, jobID)
+	req.Host = rowsstandin.HostName
+	req.Header.Set(rowsstandin.HeaderID, jobID)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.UpstreamUnreachable, failure.Unknown, "host %d does not answer", host+1)
@@ -118,7 +118,7 @@
 
 // submit hands the job in until a host accepts it.
 func (j *jobDemo) submit(ctx context.Context) error {
-	body := standin.Submission(jobID, jobRollouts, 0, 0)
+	body := rowsstandin.Submission(jobID, jobRollouts, 0, 0)
 	for {
 		_, err := j.call(ctx, 0, http.MethodPost, "/jobs/submit", body, http.StatusAccepted)
 		if err == nil {
@@ -135,11 +135,11 @@
 func (j *jobDemo) read(ctx context.Context) error {
 	seen := map[string]bool{}
 	for next := 0; next < jobRollouts; {
-		text, err := j.call(ctx, 1, http.MethodGet, fmt.Sprintf("%s%s?after=%d", standin.PathJobs, jobID, next), nil, http.StatusOK)
 		if ctx.Err() != nil {
 			j.report.broken("job: %d of %d results were listed in time", next, jobRollouts)
 			return nil
 		}
+		text, err := j.call(ctx, 1, http.MethodGet, fmt.Sprintf("%s%s?after=%d", rowsstandin.PathJobs, jobID, next), nil, http.StatusOK)
 		if err != nil {
 			time.Sleep(jobPoll)
 			continue
@@ -158,7 +158,7 @@
 				j.report.broken("rollout %s is listed twice", r.ID)
 			}
 			seen[r.ID] = true
-			if r.State != "completed" || r.Text != standin.Text(r.ID, jobEvents) {
+			if r.State != "completed" || r.Text != rowsstandin.Text(r.ID, jobEvents) {
 				j.report.broken("rollout %s is %s with the text %q", r.ID, r.State, r.Text)
 			}
 		}
