--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -49,7 +49,7 @@
 	retention   time.Duration
 
 	mu     sync.Mutex
-	demand func(model string, oldest uint64)
+	demand func(model string, oldest uint64, rollouts int)
 	// steps are the newest steps seen by model.
 	steps map[string]int
 	// slowSince is since when engines are slow; only placeRollouts uses it.
@@ -81,8 +81,8 @@
 	Fleet  *fleet.Fleet
 	Engine Engine
 	Scorer Scorer
-	// Demand is told the oldest version of a model\'s weights that its newest job allows; it may be nil.
-	Demand func(model string, oldest uint64)
+	// Demand is told the oldest version of a model\'s weights that its newest job allows, and its size; it may be nil.
+	Demand func(model string, oldest uint64, rollouts int)
 	// Retention is how long a job that is over is kept after its acceptance; zero keeps it.
 	Retention time.Duration
 	// Events counts what happens; it may be nil.
@@ -152,7 +152,7 @@
 	if newest, seen := m.steps[owner.Model]; owner.Model != "" && (!seen || owner.Step > newest) {
 		m.steps[owner.Model] = owner.Step
 		if m.demand != nil {
-			m.demand(owner.Model, owner.MinVersion)
+			m.demand(owner.Model, owner.MinVersion, owner.Total)
 		}
 	}
 	if r := m.runs[job]; r != nil && !m.owns(owner) {
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -62,8 +62,8 @@
 
 // RowsSwap is the [swap] section.
 type RowsSwap struct {
-	// AtOnce bounds the engines that load weights at a time.
-	AtOnce int `ini:"at_once" validate:"gt=0"`
+	// AtOnce bounds the engines that load weights at a time; zero makes it a share of them.
+	AtOnce int `ini:"at_once" validate:"gte=0"`
 }
 
 // DefaultRows returns the settings used where the file is silent.
@@ -76,7 +76,6 @@
 			StopGrace:    8 * time.Second,
 			JobRetention: 3 * time.Minute,
 		},
-		Swap: RowsSwap{AtOnce: 3},
 	}
 }
 
--- a/internal/swap/controller.go
+++ b/internal/swap/controller.go
@@ -103,7 +103,8 @@
 	began  time.Time
 }
 
-// NewController returns a controller that lets at most atOnce engines load at a time. events may be nil.
+// NewController returns a controller that lets at most atOnce engines load at a
+// time; zero makes it a share of them. events may be nil.
 func NewController(host string, lease *Lease, f *fleet.Fleet, engines Engines, modes Modes, atOnce int, events *telemetry.Recorder, log logr.Logger) *Controller {
 	return &Controller{host: host, lease: lease, fleet: f, engines: engines, modes: modes, atOnce: atOnce, events: events, log: log,
 		needs: map[string]Need{}, states: map[string]*engineState{}}
@@ -121,8 +122,8 @@
 	}
 }
 
-// Demand takes in the oldest version that a model's newest job allows.
-func (c *Controller) Demand(model string, oldest uint64) {
+// Demand takes in the oldest version that a model's newest job allows, and its size.
+func (c *Controller) Demand(model string, oldest uint64, rollouts int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	need := c.needs[model]
@@ -133,7 +134,7 @@
 	if slack != need.Slack {
 		c.log.Info("jobs allow older versions", "model", model, "named", need.Named, "oldest", oldest, "slack", slack)
 	}
-	need.Slack = slack
+	need.Slack, need.Rollouts = slack, rollouts
 	c.needs[model] = need
 }
 
@@ -175,7 +176,11 @@
 		targets[r.ID] = r
 		engines = append(engines, c.view(r, now))
 	}
-	for _, order := range Plan(engines, c.needs, c.atOnce, now) {
+	atOnce := c.atOnce
+	if atOnce == 0 {
+		atOnce = AtOnce(len(engines))
+	}
+	for _, order := range Plan(engines, c.needs, atOnce, now) {
 		c.send(ctx, targets[order.Engine], order, fence)
 	}
 }
@@ -194,7 +199,7 @@
 		}
 		s.version = 0
 	}
-	e := Engine{ID: r.ID, Versions: r.Models, Loading: s.version > 0 || s.sending, RetryAt: s.retryAt}
+	e := Engine{ID: r.ID, Slots: r.Slots, Versions: r.Models, Loading: s.version > 0 || s.sending, RetryAt: s.retryAt}
 	if s.version > 0 {
 		e.LoadsModel = s.model
 	}
