--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -250,16 +250,44 @@
 			members = append(members, m)
 		}
 	}
+	ring := ringOf(members, want.Model)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	usual := usualPace(members, now)
 	replicas := make([]placement.Replica, len(members))
 	for i, m := range members {
 		replicas[i] = m.view(want.Model, usual, now)
+		replicas[i].Distance = ring[m.ID]
 		replicas[i].Connected = f.connected != nil && f.connected(m.Address)
 	}
 	return members, replicas
 }
 
+// ringOf returns the distances of a service's replicas on the ring for a model.
+// All hosts that know the same replicas compute the same.
+func ringOf(members []*member, model string) map[string]float64 {
+	if model == "" {
+		return nil
+	}
+	ids := make([]string, 0, len(members))
+	var models []string
+	for _, m := range members {
+		ids = append(ids, m.ID)
+		for name := range m.Models {
+			if !slices.Contains(models, name) {
+				models = append(models, name)
+			}
+		}
+	}
+	slices.Sort(ids)
+	slices.Sort(models)
+	part := slices.Index(models, model)
+	distances := make(map[string]float64, len(ids))
+	for position, id := range ids {
+		distances[id] = placement.Distance(position, len(ids), max(0, part), len(models))
+	}
+	return distances
+}
+
 // usualPace is the median of the known paces; zero if none is known.
 func usualPace(members []*member, now time.Time) float64 {
 	var paces []float64
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -242,6 +242,10 @@
 		it.avoid = map[string]bool{target.ID: true}
 		r.m.fleet.Failed(target.ID)
 		err = cause
+	case errors.Is(cause, errQueued):
+		it.avoid = map[string]bool{target.ID: true}
+		r.m.fleet.Refused(target.ID, r.spec.Model)
+		err = cause
 	case errors.Is(cause, errSlow):
 		r.m.events.Event("rollout_moved")
 		it.avoid = map[string]bool{target.ID: true}
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -52,6 +52,8 @@
 	demand func(model string, oldest uint64, rollouts int)
 	// steps are the newest steps seen by model.
 	steps map[string]int
+	// kept are the newest runs of each model that ended here, the newest last.
+	kept map[string][]*run
 	// slowSince is since when engines are slow; only placeRollouts uses it.
 	slowSince map[string]time.Time
 	jobs      map[string]*known
@@ -95,7 +97,7 @@
 	m := &Manager{
 		host: c.Host, incarnation: c.Incarnation, ownDomain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
 		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events, retention: c.Retention,
-		demand: c.Demand, steps: map[string]int{}, slowSince: map[string]time.Time{}, jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
+		demand: c.Demand, steps: map[string]int{}, kept: map[string][]*run{}, slowSince: map[string]time.Time{}, jobs: map[string]*known{}, runs: map[string]*run{}, changed: make(chan struct{}),
 		wake: make(chan struct{}, 1), dispatch: make(chan struct{}, 1), scoring: make(chan struct{}, scoringAtOnce),
 	}
 	m.ctx, m.stop = context.WithCancel(context.Background())
@@ -291,10 +293,14 @@
 	m.waits.Go(func() {
 		r.loop()
 		m.mu.Lock()
+		defer m.mu.Unlock()
 		if m.runs[id] == r {
 			delete(m.runs, id)
 		}
-		m.mu.Unlock()
+		if model := r.owner.Model; model != "" && !r.isLost {
+			kept := append(m.kept[model], r)
+			m.kept[model] = kept[max(0, len(kept)-carryJobs):]
+		}
 	})
 }
 
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -86,7 +86,11 @@
 	for i := range r.spec.Rollouts {
 		wanted[r.spec.Rollouts[i].ID] = true
 	}
-	for _, id := range r.m.earlier(r.id, r.owner) {
+	stored, kept := r.m.earlier(r.id, r.owner)
+	for _, other := range kept {
+		other.leave(wanted, texts, results)
+	}
+	for _, id := range stored {
 		found, err := r.m.store.readTexts(ctx, id)
 		if err != nil {
 			r.log.Info("earlier job can't be read", "earlier", id, "error", err.Error())
@@ -111,22 +115,46 @@
 	return texts, results
 }
 
-// earlier returns the newest jobs of a model before a job's step.
-func (m *Manager) earlier(id string, owner Owner) []string {
+// leave adds what this run, which has ended, has of the wanted rollouts.
+func (r *run) leave(wanted map[string]bool, texts map[string]text, results map[string]Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, it := range r.items {
+		id := it.rollout.ID
+		if !wanted[id] {
+			continue
+		}
+		if len(it.events) > len(texts[id].events) {
+			texts[id] = text{events: it.events}
+		}
+		if (it.state == finished || it.state == listed) && it.result.State == Completed {
+			results[id] = it.result
+		}
+	}
+}
+
+// earlier returns the newest jobs of a model before a job's step: those whose
+// rows are to be read, and the runs that this host still knows. A job that was
+// listed whole elsewhere has nothing left to carry over.
+func (m *Manager) earlier(id string, owner Owner) (stored []string, kept []*run) {
 	if owner.Model == "" {
-		return nil
+		return nil, nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var found []string
+	known := map[string]bool{}
+	for _, r := range m.kept[owner.Model] {
+		known[r.id] = true
+		kept = append(kept, r)
+	}
 	for step := owner.Step - 1; step >= 0 && step >= owner.Step-carryJobs; step-- {
 		for other, k := range m.jobs {
-			if other != id && k.owner.Model == owner.Model && k.owner.Step == step {
-				found = append(found, other)
+			if other != id && !known[other] && k.owner.Model == owner.Model && k.owner.Step == step && k.owner.Listed < k.owner.Total {
+				stored = append(stored, other)
 			}
 		}
 	}
-	return found
+	return stored, kept
 }
 
 // takeCarried uses what an earlier job left where its versions fit. The caller holds mu.
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -97,6 +97,7 @@
 var (
 	errEnded   = errors.New("the job has ended")
 	errSilent  = errors.New("the engine was silent")
+	errQueued  = errors.New("the engine did not begin while another had a free place")
 	errSlow    = errors.New("the engine is slower than its peers")
 	errStopped = errors.New("this host is stopping")
 )
--- a/internal/job/watch.go
+++ b/internal/job/watch.go
@@ -1,11 +1,19 @@
 package job
 
-import "time"
+import (
+	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+)
 
 const (
 	// firstPatience is how long an engine may take for the first event of a
 	// run: it may queue the run or load weights.
 	firstPatience = 1500 * time.Millisecond
+	// queuePatience is how long a run may wait at an engine for its first event
+	// while another engine has a free place. Reading the prompts of a full batch
+	// takes a tenth of that.
+	queuePatience = 400 * time.Millisecond
 	// eventPatience is how long an engine may be silent between two events.
 	eventPatience = 1200 * time.Millisecond
 )
@@ -78,6 +86,9 @@
 				}
 			case it.state == running && Silent(now.Sub(it.lastEvent), len(it.events) > it.had):
 				it.stop(errSilent)
+			case it.state == running && !it.leaves && found && m.waitsInVain(r, it, rule, now):
+				it.leaves = true
+				it.stop(errQueued)
 			case it.state == running && !it.leaves && found && m.worthMoving(r, it, rule, now):
 				it.leaves = true
 				it.stop(errSlow)
@@ -116,15 +127,32 @@
 	}
 }
 
+// waitsInVain reports whether a run waits in an engine's queue while another
+// engine has a free place: owners that place at the same moment don't see each
+// other's choices. The caller holds the run's mu.
+func (m *Manager) waitsInVain(r *run, it *item, rule Rule, now time.Time) bool {
+	if len(it.events) > it.had || now.Sub(it.lastEvent) < queuePatience {
+		return false
+	}
+	_, _, ok := m.fleet.Peek(elsewhere(m, r, it, rule, now))
+	return ok
+}
+
+// elsewhere is what a running rollout needs of another engine with a free place.
+func elsewhere(m *Manager, r *run, it *item, rule Rule, now time.Time) fleet.Want {
+	want := place{run: r, it: it, rule: rule}.want(m, now)
+	want.Avoid = nil
+	want.Except = it.engine
+	want.Queue = false
+	return want
+}
+
 // worthMoving reports whether a running rollout is better moved now. The caller holds the run's mu.
 func (m *Manager) worthMoving(r *run, it *item, rule Rule, now time.Time) bool {
 	since, slow := m.slowSince[it.engine]
 	if !slow || now.Sub(since) < slowTerm {
 		return false
 	}
-	want := place{run: r, it: it, rule: rule}.want(m, now)
-	want.Avoid = map[string]bool{it.engine: true}
-	want.Queue = false
-	target, pace, ok := m.fleet.Peek(want)
-	return ok && target != it.engine && Worth(m.fleet.Pace(it.engine), pace, len(it.events)-it.had, it.left())
+	_, pace, ok := m.fleet.Peek(elsewhere(m, r, it, rule, now))
+	return ok && Worth(m.fleet.Pace(it.engine), pace, len(it.events)-it.had, it.left())
 }
--- a/internal/job/watch_test.go
+++ b/internal/job/watch_test.go
@@ -50,6 +50,24 @@
 	})
 }
 
+// Two owners that place at the same moment send more to an engine than it runs;
+// what waits there goes on where a place is free.
+func TestRolloutsLeaveAQueue(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a := w.boot("a")
+		w.engines.mu.Lock()
+		w.engines.silent["e1"] = true
+		w.engines.mu.Unlock()
+		s := spec("job", 3)
+		w.accept(a, s)
+		began := time.Now()
+		w.finishes(a, s, 4*time.Second)
+		if took := time.Since(began); took > 1300*time.Millisecond {
+			t.Errorf("the job took %s", took)
+		}
+	})
+}
+
 func TestPeekCountsNothing(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a := w.boot("a")
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,6 +30,9 @@
 	Pace float64
 	// Version is the version of the model that the request needs; zero if not known.
 	Version uint64
+	// Distance is how far the replica is from where the request's model begins on
+	// the ring of replicas, 0 to 1.
+	Distance float64
 	// Connected is true if a connection to the replica waits for use.
 	Connected bool
 }
@@ -44,6 +47,8 @@
 	Version uint64
 	// Avoid names replicas that have failed this request.
 	Avoid map[string]bool
+	// Except names a replica that is not to be taken; it may be empty.
+	Except string
 	// Queue allows a replica without a free slot.
 	Queue bool
 }
@@ -58,6 +63,10 @@
 	// connectCost is what a replica without a waiting connection costs more; a new
 	// one takes time at both ends.
 	connectCost = 0.06
+	// ringCost is what the farthest replica on the ring costs more. Owners of
+	// several models place at once and can't see each other's choices in time, so
+	// each fills the replicas from another point on.
+	ringCost = 0.5
 	// slotSlack is how many requests beyond the slots may queue at a replica.
 	slotSlack = 3
 )
@@ -87,7 +96,7 @@
 
 func usable(req Request, r *Replica, now time.Time) bool {
 	switch {
-	case r.Draining || now.Before(r.RetryAt):
+	case r.Draining || now.Before(r.RetryAt) || req.Except != "" && r.ID == req.Except:
 		return false
 	case r.Version != 0 && r.Version < req.MinVersion:
 		return false
@@ -119,8 +128,19 @@
 	if r.Domain != req.Domain {
 		cost += domainCost
 	}
+	cost += ringCost * r.Distance
 	if !r.Connected {
 		cost += connectCost
 	}
 	return cost
 }
+
+// Distance returns how far the item at a position of a ring of size items is
+// from where the part-th of parts shares begins, 0 to 1.
+func Distance(position, size, part, parts int) float64 {
+	if size <= 0 || parts <= 1 {
+		return 0
+	}
+	start := part * size / parts
+	return float64((position-start+size)%size) / float64(size)
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -55,6 +55,8 @@
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region"`
 	State         State  `json:"state"`
+	// Cores is the processor time that the host has, in cores; zero if not known.
+	Cores float64 `json:"cores,omitempty"`
 	// Beat grows with each heartbeat.
 	Beat uint64 `json:"beat"`
 }
@@ -188,31 +190,66 @@
 // Rank returns a host's place in the order in which live hosts take up a piece
 // of work, 0 first. The order differs from key to key.
 func (r *Roster) Rank(key, id string) int {
-	own := weight(key, id)
+	hosts := r.Hosts()
+	most := mostCores(hosts)
+	var self Host
+	for _, host := range hosts {
+		if host.ID == id {
+			self = host
+		}
+	}
+	self.ID = id
 	rank := 0
-	for _, host := range r.Hosts() {
-		if w := weight(key, host.ID); host.ID != id && (w > own || w == own && host.ID < id) {
+	for _, host := range hosts {
+		if host.ID != id && before(key, host, self, most) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// able reports whether a host has enough processor time for the work of one
+// host; where hosts differ, the small ones come last.
+func (h Host) able(most float64) bool { return h.Cores >= most/2 }
+
+func mostCores(hosts []Host) float64 {
+	most := 0.0
+	for _, host := range hosts {
+		most = max(most, host.Cores)
+	}
+	return most
+}
+
+// before reports whether a host comes before another in the order for a key.
+func before(key string, a, b Host, most float64) bool {
+	if a.able(most) != b.able(most) {
+		return a.able(most)
+	}
+	x, y := weight(key, a.ID), weight(key, b.ID)
+	return x > y || x == y && a.ID < b.ID
+}
+
 // First returns the live host that comes first in the order for a key, among
 // those whose heartbeat was seen lately.
 func (r *Roster) First(key string) (id, incarnation string, ok bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	var best uint64
+	var hosts []Host
 	for _, e := range r.entries {
-		if r.dead[e.host.ID] || e.host.State != Serving || r.clock-e.seen > lateAfter+r.delay {
-			continue
+		if !r.dead[e.host.ID] && e.host.State == Serving && r.clock-e.seen <= lateAfter+r.delay {
+			hosts = append(hosts, e.host)
 		}
-		if w := weight(key, e.host.ID); !ok || w > best {
-			id, incarnation, ok, best = e.host.ID, e.host.Incarnation, true, w
+	}
+	r.mu.Unlock()
+	if len(hosts) == 0 {
+		return "", "", false
+	}
+	most, best := mostCores(hosts), hosts[0]
+	for _, host := range hosts[1:] {
+		if before(key, host, best, most) {
+			best = host
 		}
 	}
-	return id, incarnation, ok
+	return best.ID, best.Incarnation, true
 }
 
 func weight(key, id string) uint64 {
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -30,6 +30,9 @@
 	FailureDomain string `ini:"failure_domain" validate:"required"`
 	// Region groups failure domains.
 	Region string `ini:"region"`
+	// Cores is the processor time that the host has, in cores; hosts with more
+	// run the jobs. Zero if all are alike.
+	Cores float64 `ini:"cores" validate:"gte=0"`
 	// CallerAddress is the TCP ip:port for callers and trainers.
 	CallerAddress string `ini:"caller_address" validate:"required,ipport"`
 	// ReadyAddress is the TCP ip:port of the readiness check.
--- a/internal/swap/plan.go
+++ b/internal/swap/plan.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 )
 
 // Load pattern: each trainer names a version every few seconds; an engine takes
@@ -57,6 +60,8 @@
 func AtOnce(engines int) int { return max(1, int(math.Ceil(loadShare*float64(engines)))) }
 
 // Plan returns the orders to send now, so that at most atOnce engines load.
+// engines are in the order of their ids, which is that of the ring on which they
+// are placed.
 //
 // Each model keeps as many engines usable as its jobs fill, and at least its even
 // share of the loads: where M models share E engines and jobs allow a version s
@@ -97,9 +102,9 @@
 type candidate struct {
 	order Order
 	lag   uint64
-	// shared is the number of other models that the engine serves.
-	shared int
-	busy   int
+	// distance is that of the engine on the ring for the model.
+	distance float64
+	busy     int
 	// covered is the part of the engines that the model needs which it has without this order.
 	covered float64
 }
@@ -109,6 +114,8 @@
 	need := needs[model]
 	holding, usable, current, slots := 0, 0, 0, 0
 	var found []candidate
+	models := slices.Sorted(maps.Keys(needs))
+	part := slices.Index(models, model)
 	for i := range engines {
 		e := &engines[i]
 		has, holds := e.Versions[model]
@@ -127,15 +134,15 @@
 		}
 		if !e.Loading && !now.Before(e.RetryAt) {
 			found = append(found, candidate{
-				order: Order{e.ID, model, need.Named}, lag: need.Named - has, shared: sharedWith(e, model, needs), busy: e.InFlight,
+				order: Order{e.ID, model, need.Named}, lag: need.Named - has, busy: e.InFlight,
+				distance: placement.Distance(i, len(engines), part, len(models)),
 			})
 		}
 	}
 	wanted, each := wantedEngines(need, holding, slots, trained(needs))
 	// Engines that no new job may use come first; those that it may use only for the model's share of each version.
 	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(compareBool(b.lag > need.Slack, a.lag > need.Slack), cmp.Compare(a.shared, b.shared),
-			cmp.Compare(a.lag, b.lag), cmp.Compare(a.busy, b.busy), cmp.Compare(a.order.Engine, b.order.Engine))
+		return cmp.Or(compareBool(b.lag > need.Slack, a.lag > need.Slack), cmp.Compare(a.distance, b.distance), cmp.Compare(a.busy, b.busy), cmp.Compare(a.order.Engine, b.order.Engine))
 	})
 	var chosen []candidate
 	for _, c := range found {
@@ -176,17 +183,6 @@
 	return max(1, n)
 }
 
-// sharedWith is the number of other models whose jobs may use an engine.
-func sharedWith(e *Engine, model string, needs map[string]Need) int {
-	n := 0
-	for other, need := range needs {
-		if has, holds := e.Versions[other]; other != model && holds && need.Named > 0 && has+need.Slack >= need.Named {
-			n++
-		}
-	}
-	return n
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
