--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -135,9 +135,11 @@
 func (j *jobDemo) read(ctx context.Context) error {
 	seen := map[string]bool{}
 	for next := 0; next < jobRollouts; {
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			j.report.broken("job: %d of %d results were listed in time", next, jobRollouts)
 			return nil
+		default:
 		}
 		text, err := j.call(ctx, 1, http.MethodGet, fmt.Sprintf("%s%s?after=%d", rowsstandin.PathJobs, jobID, next), nil, http.StatusOK)
 		if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -103,6 +103,9 @@
 
 // Put takes a replica's entry of discovery.
 func (f *Fleet) Put(r Replica) {
+	if r.Models == nil {
+		r.Models = map[string]uint64{}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.members[r.ID]
--- /dev/null
+++ b/internal/follow/follower_test.go
@@ -0,0 +1,110 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
+)
+
+// mirror is a sink that keeps a copy and demands that versions of a row only grow.
+type mirror struct {
+	t        *testing.T
+	rows     map[platform.RowID]string
+	versions map[platform.RowID]uint64
+	caught   int
+}
+
+func (m *mirror) Changed(row platform.VersionedRow) {
+	if row.Version < m.versions[row.RowID] {
+		m.t.Errorf("row %v went back from version %d to %d", row.RowID, m.versions[row.RowID], row.Version)
+	}
+	m.versions[row.RowID] = row.Version
+	if row.Deleted {
+		delete(m.rows, row.RowID)
+		return
+	}
+	m.rows[row.RowID] = string(row.Value)
+}
+
+func (m *mirror) Caught(time.Duration, time.Time) { m.caught++ }
+
+// follows runs a follower beside a test.
+func follows(t *testing.T, config Config, test func(rows *platformtest.Rows, client *platformtest.RowsClient, m *mirror)) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		client := rows.Client()
+		m := &mirror{t: t, rows: map[platform.RowID]string{}, versions: map[platform.RowID]uint64{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var done sync.WaitGroup
+		follower := New(config, client, m, logr.Discard())
+		done.Go(func() { _ = follower.Run(ctx) })
+		time.Sleep(time.Second)
+		test(rows, client, m)
+		cancel()
+		done.Wait()
+	})
+}
+
+func id(part, key string) platform.RowID {
+	return platform.RowID{Table: "t", Part: part, Key: key}
+}
+
+func TestCopyFollowsTheTable(t *testing.T) {
+	follows(t, Config{Table: "t", Parted: true, Wait: time.Second}, func(rows *platformtest.Rows, _ *platformtest.RowsClient, m *mirror) {
+		rows.Put(id("p", "a"), []byte("1"))
+		rows.Put(id("q", "a"), []byte("2"))
+		rows.Put(platform.RowID{Table: "other", Key: "a"}, []byte("3"))
+		time.Sleep(2 * time.Second)
+		rows.Put(id("p", "a"), []byte("4"))
+		rows.Delete(id("q", "a"))
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff(map[platform.RowID]string{id("p", "a"): "4"}, m.rows); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestForgottenChangesAreListed(t *testing.T) {
+	follows(t, Config{Table: "t", Wait: time.Second}, func(rows *platformtest.Rows, client *platformtest.RowsClient, m *mirror) {
+		for i := range 700 {
+			rows.Put(id("", fmt.Sprintf("%04d", i)), []byte("old"))
+		}
+		time.Sleep(2 * time.Second)
+		client.SetDown(true)
+		time.Sleep(time.Second)
+		rows.Put(id("", "0001"), []byte("new"))
+		rows.Delete(id("", "0002"))
+		rows.Put(id("", "9999"), []byte("new"))
+		rows.Forget()
+		client.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if len(m.rows) != 700 || m.rows[id("", "0001")] != "new" || m.rows[id("", "9999")] != "new" {
+			t.Errorf("%d rows, %q, %q", len(m.rows), m.rows[id("", "0001")], m.rows[id("", "9999")])
+		}
+		if _, ok := m.rows[id("", "0002")]; ok {
+			t.Error("a row that was deleted meanwhile is kept")
+		}
+	})
+}
+
+func TestReturnOfTheStoreIsSeenWithinASecond(t *testing.T) {
+	follows(t, Config{Table: "t", Wait: time.Second}, func(rows *platformtest.Rows, client *platformtest.RowsClient, m *mirror) {
+		client.SetDown(true)
+		time.Sleep(10 * time.Second)
+		rows.Put(id("", "a"), []byte("1"))
+		client.SetDown(false)
+		time.Sleep(time.Second)
+		if m.rows[id("", "a")] != "1" {
+			t.Error("a change is not known a second after the store's return")
+		}
+	})
+}
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -298,8 +298,8 @@
 			delete(m.runs, id)
 		}
 		if model := r.owner.Model; model != "" && !r.isLost {
-			kept := append(m.kept[model], r)
-			m.kept[model] = kept[max(0, len(kept)-carryJobs):]
+			m.kept[model] = append(m.kept[model], r)
+			m.kept[model] = m.kept[model][max(0, len(m.kept[model])-carryJobs):]
 		}
 	})
 }
--- a/internal/swap/plan.go
+++ b/internal/swap/plan.go
@@ -147,7 +147,7 @@
 	var chosen []candidate
 	for _, c := range found {
 		outdated := c.lag > need.Slack
-		if !(outdated && usable < wanted || current < each) {
+		if (!outdated || usable >= wanted) && current >= each {
 			continue
 		}
 		c.covered = float64(usable) / float64(wanted)
