--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,8 +30,8 @@
 	Pace float64
 	// Version is the version of the model that the request needs; zero if not known.
 	Version uint64
-	// Distance is how far the replica is from where the request's model begins on
-	// the ring of replicas, 0 to 1.
+	// Distance is how far the replica is from the arc of the ring of replicas that
+	// is the request's model's own, 0 to 1.
 	Distance float64
 	// Connected is true if a connection to the replica waits for use.
 	Connected bool
@@ -65,8 +65,8 @@
 	connectCost = 0.06
 	// ringCost is what the farthest replica on the ring costs more. Owners of
 	// several models place at once and can't see each other's choices in time, so
-	// each fills the replicas from another point on.
-	ringCost = 0.5
+	// each fills an arc of its own first.
+	ringCost = 0.8
 	// slotSlack is how many requests beyond the slots may queue at a replica.
 	slotSlack = 3
 )
@@ -135,12 +135,20 @@
 	return cost
 }
 
+// arcEdge is the distance of the first replica outside of a model's own arc.
+const arcEdge = 0.25
+
 // Distance returns how far the item at a position of a ring of size items is
-// from where the part-th of parts shares begins, 0 to 1.
+// from the part-th of parts equal arcs: 0 within it, and up to 1 behind it.
 func Distance(position, size, part, parts int) float64 {
 	if size <= 0 || parts <= 1 {
 		return 0
 	}
 	start := part * size / parts
-	return float64((position-start+size)%size) / float64(size)
+	way := float64((position-start+size)%size) / float64(size)
+	arc := 1 / float64(parts)
+	if way < arc {
+		return 0
+	}
+	return arcEdge + (1-arcEdge)*(way-arc)/(1-arc)
 }
