--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -229,7 +229,7 @@
 	if err == nil {
 		it.state = scoring
 		r.m.fleet.Succeeded(target.ID)
-		r.m.waits.Go(func() { r.score(it, p.rule) })
+		r.m.waits.Go(func() { r.score(it) })
 		return
 	}
 	it.state, it.waitsSince = waiting, time.Now()
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -16,7 +16,7 @@
 )
 
 // score has a whole text scored and hands the result on to be listed.
-func (r *run) score(it *item, _ Rule) {
+func (r *run) score(it *item) {
 	r.mu.Lock()
 	events := it.events
 	r.mu.Unlock()
--- a/internal/routing/evidence_test.go
+++ b/internal/routing/evidence_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
+	"github.com/sapphirehatch/sapphirehatch/internal/membership"
 )
 
 func stored(seq, block uint64) engineapi.CacheEvent {
@@ -108,3 +109,17 @@
 		})
 	}
 }
+
+// A replica that was down for long takes work again within seconds of its
+// recovery: while it was left out for up to 8 s, the other one of a pair had to
+// carry all, and callers were refused although half of the capacity was idle.
+func TestRecoveredReplicaIsBackSoon(t *testing.T) {
+	r := newReplica(membership.Upstream{ID: "a"}, 8)
+	now := time.Now()
+	for range 20 {
+		r.finished(Failed, now, now)
+	}
+	if wait := r.view.RetryAt.Sub(now); wait > 3*time.Second {
+		t.Errorf("the replica is left out for %s", wait)
+	}
+}
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -12,9 +12,10 @@
 
 const (
 	// firstBackoff is how long a replica is left alone after one failure; it
-	// doubles with each further failure up to lastBackoff.
+	// doubles with each further failure up to lastBackoff, so that a replica that
+	// failed last right before its recovery is back soon after it.
 	firstBackoff = 250 * time.Millisecond
-	lastBackoff  = 8 * time.Second
+	lastBackoff  = 2 * time.Second
 	// waitingShare is the share of an engine's slots that may wait there.
 	waitingShare = 0.25
 	// serviceWaitingShare is the share of a service's slots that may wait there.
