--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
@@ -19,8 +18,6 @@
 	reconcileInterval = 100 * time.Millisecond
 	// rankStep is how much longer each next host waits before it takes a job over.
 	rankStep = 400 * time.Millisecond
-	// settlePause is the wait between two tries to settle a write that is in doubt.
-	settlePause = 60 * time.Millisecond
 )
 
 // known is what a host knows of one job through the feed.
@@ -304,81 +301,6 @@
 	})
 }
 
-// Accept makes a job durable and starts it. A job that was accepted before is
-// accepted again. The error is of kind StoreUnavailable with outcome NotRun if
-// the job surely was not kept and never will be, and StoreInDoubt otherwise.
-func (m *Manager) Accept(ctx context.Context, spec *Spec) error {
-	m.mu.Lock()
-	k := m.jobs[spec.ID]
-	m.mu.Unlock()
-	if k != nil && k.version > 0 {
-		m.log.Info("job accepted before", "job", spec.ID, "version", k.version)
-		return nil
-	}
-	owner := Owner{
-		Host: m.host, Incarnation: m.incarnation, AcceptedMS: m.clock().Milliseconds(),
-		Total: len(spec.Rollouts), Model: spec.Model, Step: spec.Step, MinVersion: spec.MinVersion,
-	}
-	if host, incarnation, ok := m.hosts.First(owner.key(spec.ID)); ok {
-		owner.Host, owner.Incarnation = host, incarnation
-	}
-	txs, err := acceptance(spec, owner)
-	if err != nil {
-		return err
-	}
-	for _, tx := range txs[:len(txs)-1] {
-		if _, err := m.store.rows.Commit(ctx, tx); err != nil {
-			return failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "job %s was not kept", spec.ID)
-		}
-	}
-	last := txs[len(txs)-1]
-	owner.Chunks = len(last.Writes) - 1
-	for _, tx := range txs[:len(txs)-1] {
-		owner.Chunks += len(tx.Writes)
-	}
-	receipt, err := m.settle(ctx, spec.ID, last)
-	if failure.IsKind(err, failure.Conflict) {
-		m.log.Info("job accepted before", "job", spec.ID)
-		return nil
-	}
-	if err != nil {
-		m.events.Event("job_refused")
-		m.log.Info("job not accepted", "job", spec.ID, "error", err.Error())
-		return err
-	}
-	m.events.Event("job_accepted")
-	m.log.Info("job accepted", "job", spec.ID, "owner", owner.Host, "version", receipt.Version, "rollouts", len(spec.Rollouts),
-		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.learn(spec.ID, owner, receipt.Version)
-	if m.owns(owner) && m.runs[spec.ID] == nil && m.jobs[spec.ID].version == receipt.Version {
-		m.start(spec.ID, spec, owner, receipt.Version)
-	}
-	return nil
-}
-
-// settle commits a transaction that may be repeated until its fate is known.
-func (m *Manager) settle(ctx context.Context, id string, tx platform.RowTransaction) (platform.Receipt, error) {
-	doubt := false
-	for {
-		receipt, err := m.store.rows.Commit(ctx, tx)
-		switch {
-		case err == nil || failure.IsKind(err, failure.Conflict):
-			return receipt, err
-		case failure.IsKind(err, failure.StoreInDoubt):
-			doubt = true
-		case !doubt:
-			return receipt, failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "job %s was not kept", id)
-		}
-		select {
-		case <-time.After(settlePause):
-		case <-ctx.Done():
-			return platform.Receipt{}, failure.Wrap(err, failure.StoreInDoubt, failure.Unknown, "job %s may have been kept", id)
-		}
-	}
-}
-
 // clock estimates the store's clock.
 func (m *Manager) clock() time.Duration {
 	now, asked := m.hosts.Clock()
@@ -388,51 +310,6 @@
 	return now + time.Since(asked)
 }
 
-// End ends a job. It returns NotFound for a job that the store does not know.
-func (m *Manager) End(ctx context.Context, id string) error {
-	m.mu.Lock()
-	k := m.jobs[id]
-	ended := k != nil && k.ended
-	m.mu.Unlock()
-	if ended {
-		return nil
-	}
-	if k == nil || k.version == 0 {
-		_, version, _, err := m.store.readOwner(ctx, id)
-		if err != nil {
-			return err
-		}
-		if version == 0 {
-			return failure.New(failure.NotFound, "", "there is no job %s", id)
-		}
-	}
-	for {
-		err := m.store.end(ctx, id, m.clock())
-		if err == nil {
-			break
-		}
-		if !failure.IsKind(err, failure.StoreInDoubt) {
-			return err
-		}
-		select {
-		case <-time.After(settlePause):
-		case <-ctx.Done():
-			return err
-		}
-	}
-	m.events.Event("job_ended")
-	m.log.Info("job ended", "job", id)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if k := m.jobs[id]; k != nil {
-		k.ended = true
-	}
-	if r := m.runs[id]; r != nil {
-		r.end("ended by its trainer")
-	}
-	return nil
-}
-
 // Load is what a host's jobs ask of it now.
 type Load struct {
 	Jobs, Waiting, Running int
