--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -22,8 +22,12 @@
 		m.log.Info("job accepted before", "job", spec.ID, "version", k.version)
 		return nil
 	}
+	now, err := m.storeClock(ctx, spec.ID)
+	if err != nil {
+		return err
+	}
 	owner := Owner{
-		Host: m.host, Incarnation: m.incarnation, AcceptedMS: m.clock().Milliseconds(),
+		Host: m.host, Incarnation: m.incarnation, AcceptedMS: now.Milliseconds(),
 		Total: len(spec.Rollouts), Model: spec.Model, Step: spec.Step, MinVersion: spec.MinVersion,
 	}
 	if host, incarnation, ok := m.hosts.First(owner.key(spec.ID)); ok {
@@ -65,6 +69,18 @@
 	return nil
 }
 
+// storeClock returns the store's clock. A host that has just started asks for it.
+func (m *Manager) storeClock(ctx context.Context, id string) (time.Duration, error) {
+	if now := m.clock(); now > 0 {
+		return now, nil
+	}
+	page, err := m.store.rows.Read(ctx, platform.RowRange{Table: TableJobs, Part: id, Limit: 1})
+	if err != nil {
+		return 0, failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "the store's clock is not known yet")
+	}
+	return page.Now, nil
+}
+
 // settle commits a transaction that may be repeated until its fate is known.
 func (m *Manager) settle(ctx context.Context, id string, tx platform.RowTransaction) (platform.Receipt, error) {
 	doubt := false
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -144,6 +144,29 @@
 	})
 }
 
+// A host that had just started did not know the store's clock, wrote an
+// acceptance at the clock's zero, and so gave the rollouts up at once.
+func TestAcceptanceBeforeTheClockIsKnown(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.rules.rule.GiveUpAfter = 40 * time.Second
+		a := w.boot("a")
+		b := w.bootBlind("b", 3*time.Second)
+		s := spec("job", 4)
+		w.accept(b, s)
+		time.Sleep(3 * time.Second)
+		for _, result := range w.finishes(a, s, 5*time.Second) {
+			if result.State != Completed {
+				t.Errorf("rollout %s is %s", result.ID, result.State)
+			}
+		}
+		for _, k := range a.manager.jobs {
+			if k.owner.accepted() < time.Hour {
+				t.Errorf("the job was accepted at %s of the store's clock", k.owner.accepted())
+			}
+		}
+	})
+}
+
 func TestAllHostsLosePowerRightAfterAcceptance(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a, b := w.boot("a"), w.boot("b")
--- a/internal/job/sweep.go
+++ b/internal/job/sweep.go
@@ -48,7 +48,7 @@
 	var old []string
 	for id, k := range m.jobs {
 		over := k.ended || k.owner.Listed >= k.owner.Total
-		if k.version > 0 && over && m.runs[id] == nil && clock > k.owner.accepted()+m.retention+sweepMargin && m.hosts.Rank(id, m.host) == 0 {
+		if k.version > 0 && k.owner.AcceptedMS > 0 && over && m.runs[id] == nil && clock > k.owner.accepted()+m.retention+sweepMargin && m.hosts.Rank(id, m.host) == 0 {
 			old = append(old, id)
 		}
 	}
--- a/internal/job/watch.go
+++ b/internal/job/watch.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		rule, found, _ := m.rules.JobRule(r.spec)
-		late := found && rule.GiveUpAfter > 0 && clock > r.owner.accepted()+rule.GiveUpAfter
+		late := found && rule.GiveUpAfter > 0 && r.owner.AcceptedMS > 0 && clock > r.owner.accepted()+rule.GiveUpAfter
 		for _, it := range r.items {
 			switch {
 			case late && (it.state == waiting || it.state == running):
