Remember of a stream that an attempt may have run

Cause: the outcome of a stream was worked out from the number of sends and the last error, so an attempt that broke off before its first event, followed by a refusal, was answered as not run. A replica that could not be dialed counted as sent, so the refusal came at the deadline.

Change: only attempts that may have run count; a failed dial counts like a refusal. The judgement of a failed attempt is shared with plain requests.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -215,20 +216,26 @@
 	switch {
 	case ctx.Err() != nil:
 		f.unknown = f.unknown || e.Outcome != failure.NotRun
-	case e.Kind == failure.QueueFull:
-		// The replica did not run it, so the attempt does not count.
-		f.sent--
-		f.fleet.Refused(end.target.ID, "")
 	case e.Outcome == failure.NotRun:
+		// The replica did not run it, so the attempt does not count.
 		f.sent--
-		f.fleet.Failed(end.target.ID)
+		f.leaveAlone(end.target.ID, e)
 	default:
 		f.unknown = true
-		f.fleet.Failed(end.target.ID)
+		f.leaveAlone(end.target.ID, e)
 	}
 	return nil
 }
 
+// leaveAlone records the failure of an attempt at a replica.
+func (g *Gateway) leaveAlone(id string, e *failure.Error) {
+	if e.Kind == failure.QueueFull {
+		g.fleet.Refused(id, "")
+		return
+	}
+	g.fleet.Failed(id)
+}
+
 // waitForPlace waits for a change among the replicas; it reports false if the wait is over.
 func (f *forward) waitForPlace(ctx context.Context, giveUp time.Time) bool {
 	left := time.Until(giveUp)
@@ -255,14 +262,7 @@
 		if ctx.Err() != nil {
 			kind = failure.DeadlineExceeded
 		}
-		return nil, failure.Wrap(errOr(f.err, ctx), kind, failure.Unknown, "no replica of %s answered", f.service)
-	}
-	return nil, failure.Wrap(errOr(f.err, ctx), failure.QueueFull, failure.NotRun, "no replica of %s took the request", f.service).WithRetryAfter(retrySoon)
-}
-
-func errOr(err error, ctx context.Context) error {
-	if err != nil {
-		return err
+		return nil, failure.Wrap(cmp.Or(f.err, ctx.Err()), kind, failure.Unknown, "no replica of %s answered", f.service)
 	}
-	return ctx.Err()
+	return nil, failure.Wrap(cmp.Or(f.err, ctx.Err()), failure.QueueFull, failure.NotRun, "no replica of %s took the request", f.service).WithRetryAfter(retrySoon)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,8 +41,9 @@
 	service string
 	sink    Sink
 	// after is the newest event that was passed on.
-	after   int
-	begun   bool
+	after int
+	begun bool
+	// sent is the number of attempts that a replica may have run.
 	sent    int
 	avoid   map[string]bool
 	sinkErr error
@@ -105,11 +106,11 @@
 	case err == nil:
 		s.fleet.Succeeded(target.ID)
 	case s.sinkErr != nil:
-	case e.Kind == failure.QueueFull:
+	case e.Outcome == failure.NotRun:
 		s.sent--
-		s.fleet.Refused(target.ID, "")
+		s.leaveAlone(target.ID, e)
 	default:
-		s.fleet.Failed(target.ID)
+		s.leaveAlone(target.ID, e)
 	}
 	return err
 }
@@ -121,13 +122,13 @@
 	case s.sinkErr != nil:
 		return failure.Wrap(err, failure.Internal, failure.Unknown, "the caller takes no more events")
 	case ctx.Err() != nil || !time.Now().Before(s.call.Deadline):
-		return failure.Wrap(err, failure.DeadlineExceeded, s.outcome(e), "the stream did not end in time")
+		return failure.Wrap(err, failure.DeadlineExceeded, s.outcome(), "the stream did not end in time")
 	case e.Outcome == failure.NotRun && !s.begun:
 		if time.Now().After(giveUp) && s.sent == 0 {
 			return failure.Wrap(err, failure.QueueFull, failure.NotRun, "no replica of %s took the request", s.service).WithRetryAfter(retrySoon)
 		}
 	case !s.call.Route.Resumable || s.sent >= max(1, s.call.Route.MaxAttempts):
-		return failure.Wrap(err, failure.UpstreamFailed, s.outcome(e), "the stream broke off")
+		return failure.Wrap(err, failure.UpstreamFailed, s.outcome(), "the stream broke off")
 	}
 	timer := time.NewTimer(placePause)
 	defer timer.Stop()
@@ -138,9 +139,9 @@
 	return nil
 }
 
-// outcome says what is known after the last attempt.
-func (s *streaming) outcome(e *failure.Error) failure.Outcome {
-	if s.sent == 0 || s.sent == 1 && e.Outcome == failure.NotRun && !s.begun {
+// outcome says what is known of all attempts together.
+func (s *streaming) outcome() failure.Outcome {
+	if s.sent == 0 {
 		return failure.NotRun
 	}
 	return failure.Unknown
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/routes"
+)
+
+// part is what one attempt at a stream brings: the events up to a number, and then an end.
+type part struct {
+	upTo int
+	err  error
+}
+
+// parts are fake replicas that stream; the attempts take the parts in turn, the last one again and again.
+type parts struct {
+	list []part
+	sent int
+}
+
+func (p *parts) StreamEvents(ctx context.Context, _ fleet.Replica, _ *fasthttp.Request, _ *fasthttp.Response, after int,
+	begin func(*fasthttp.ResponseHeader), event func(int, []byte) error,
+) error {
+	next := p.list[min(p.sent, len(p.list)-1)]
+	p.sent++
+	select {
+	case <-time.After(5 * time.Millisecond):
+	case <-ctx.Done():
+		return failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "cancelled")
+	}
+	if next.upTo > 0 {
+		begin(new(fasthttp.ResponseHeader))
+	}
+	for id := after + 1; id <= next.upTo; id++ {
+		if err := event(id, []byte("event")); err != nil {
+			return err
+		}
+	}
+	return next.err
+}
+
+// received is a caller of a stream.
+type received struct{ events int }
+
+func (r *received) Begin(*fasthttp.ResponseHeader) {}
+
+func (r *received) Event([]byte) error {
+	r.events++
+	return nil
+}
+
+// The load pattern: replicas that break off, refuse or can't be dialed while a
+// stream is on its way, in each order.
+func TestStream(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name      string
+		resumable bool
+		parts     []part
+		// events is what the caller gets of a stream of four.
+		events int
+		// outcome is that of the failure; empty expects a whole stream.
+		outcome failure.Outcome
+		within  time.Duration
+	}{
+		{"whole", false, []part{{4, nil}}, 4, "", 10 * ms},
+		{"refused and whole", false, []part{{0, errRefused}, {4, nil}}, 4, "", 100 * ms},
+		{"resumed", true, []part{{2, errBroken}, {4, nil}}, 4, "", 100 * ms},
+		{"resumed after a refusal", true, []part{{2, errBroken}, {0, errRefused}, {4, nil}}, 4, "", 100 * ms},
+		{"broken off, not resumable", false, []part{{2, errBroken}}, 2, failure.Unknown, 50 * ms},
+		{"broken off before its first event, then refused", true, []part{{0, errBroken}, {0, errRefused}}, 0, failure.Unknown, 1500 * ms},
+		{"broken off before its first event, then not dialed", true, []part{{0, errBroken}, {0, errDial}}, 0, failure.Unknown, 1500 * ms},
+		{"always refused", true, []part{{0, errRefused}}, 0, failure.NotRun, 100 * ms},
+		{"never dialed", true, []part{{0, errDial}}, 0, failure.NotRun, 100 * ms},
+		{"never dialed, not resumable", false, []part{{0, errDial}}, 0, failure.NotRun, 100 * ms},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := fleet.New(logr.Discard())
+				for id := range slices.Values([]string{"a", "b", "c"}) {
+					all.Put(fleet.Replica{ID: id, Service: "s", Address: id, Slots: 4})
+				}
+				g := New(all, nil, "", nil, logr.Discard())
+				route := &routes.Route{Name: "r", Kind: routes.Idempotent, Resumable: test.resumable, Timeout: 1500 * ms, Objective: 100 * ms,
+					MaxAttempts: 3, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+				began := time.Now()
+				ctx, cancel := context.WithDeadline(context.Background(), began.Add(1500*ms))
+				defer cancel()
+				caller := &received{}
+				err := g.Stream(ctx, &parts{list: test.parts}, Call{ID: "x", Route: route, Request: new(fasthttp.Request), Deadline: began.Add(1500 * ms)},
+					0, caller, new(fasthttp.Response))
+				if test.outcome == "" && err != nil || test.outcome != "" && (err == nil || failure.As(err).Outcome != test.outcome) {
+					t.Errorf("ended with %v", err)
+				}
+				if caller.events != test.events {
+					t.Errorf("%d events", caller.events)
+				}
+				if took := time.Since(began); took > test.within {
+					t.Errorf("took %s", took)
+				}
+			})
+		})
+	}
+}
