Offer jobs over the product's own interface and first stand-ins

Jobs ran on the row platform only. The product's own platform interface gets a row service (internal/platform.Rows over its HTTP calls, served by the platform stand-in), and internal/chatjobs puts POST, GET and DELETE of /v1/jobs in front of internal/job: rollouts are chat completions that go on behind their saved text at any engine. A host does so where its settings say jobs.accept = yes; others make no further calls, so the measured cost of hosts stays.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -7,6 +7,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/adminapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/callerapi"
+	"github.com/sapphirehatch/sapphirehatch/internal/chatjobs"
 	"github.com/sapphirehatch/sapphirehatch/internal/claim"
 	"github.com/sapphirehatch/sapphirehatch/internal/config"
 	"github.com/sapphirehatch/sapphirehatch/internal/console"
@@ -57,6 +58,7 @@
 	entry.Provide,
 	chain.Provide,
 	callerapi.Provide,
+	chatjobs.Provide,
 }
 
 // newHost composes an entry host.
@@ -86,6 +88,11 @@
 	if _, err := do.Invoke[*rollout.Owner](i); err != nil {
 		return err
 	}
+	if s, err := do.Invoke[*settings.Settings](i); err != nil || s.Jobs.Accept == "yes" {
+		if _, err := do.Invoke[*chatjobs.API](i); err != nil {
+			return err
+		}
+	}
 	_, err := do.Invoke[*weights.Controller](i)
 	return err
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -101,6 +101,10 @@
 	}
 	d.progress("ran %d training steps", len(d.report.Trainer.Steps))
 	d.report.checkBookings(emulated.runs())
+	if err := d.runChatJob(ctx); err != nil {
+		return err
+	}
+	d.progress("ran a job of %d completions that was handed in at one host and read at another", jobRollouts)
 	if err := d.runJob(ctx); err != nil {
 		return err
 	}
--- a/internal/demo/hosts.go
+++ b/internal/demo/hosts.go
@@ -46,6 +46,7 @@
 		}
 		s.Access.OperatorTokenSHA256 = operatorSHA256
 		s.Log.Level = "error"
+		s.Jobs.Accept = "yes"
 		s.Timing.ConfigPoll = 500 * time.Millisecond
 		s.Timing.MembershipPoll = memberLag
 		hosts[i] = s
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -9,8 +9,13 @@
 	"net/http"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
+	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 	rowsstandin "github.com/sapphirehatch/sapphirehatch/platform/standin"
 )
 
@@ -171,3 +176,45 @@
 	j.report.JobResults = len(seen)
 	return nil
 }
+
+// runChatJob hands a job in at the first host and reads it at the second.
+func (d *demo) runChatJob(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	client := jsonhttp.NewClient(callTimeout, nil).WithHeader(fasthttp.HeaderAuthorization, "Bearer "+d.tokens.Trainer.Secret)
+	path := trainerapi.PathJobs + "draught/" + jobID
+	var job trainerapi.JobRequest
+	for i := range jobRollouts {
+		messages := []engineapi.Message{{Role: "user", Content: fmt.Sprintf("Report %d", i)}}
+		job.Rollouts = append(job.Rollouts, trainerapi.JobRollout{ID: fmt.Sprint(i), Messages: messages, MaxTokens: sampleTokens})
+	}
+	err := retry(ctx, func() error {
+		_, err := client.Do(http.MethodPost, "http://"+d.hosts[0].Host.CallerAddress+path, job, nil)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for next := 0; next < jobRollouts; {
+		if ctx.Err() != nil {
+			d.report.broken("job of completions: %d of %d results were listed in time", next, jobRollouts)
+			return nil
+		}
+		var page trainerapi.JobResults
+		url := fmt.Sprintf("http://%s%s/results?after=%d&wait=1s", d.hosts[1].Host.CallerAddress, path, next)
+		if _, err := client.Do(http.MethodGet, url, nil, &page); err != nil {
+			time.Sleep(jobPoll)
+			continue
+		}
+		for _, r := range page.Results {
+			if seen[r.ID] || r.State != "completed" || r.Tokens == 0 || len(r.Versions) == 0 {
+				d.report.broken("completion %s is listed as %s with %d tokens, or twice", r.ID, r.State, r.Tokens)
+			}
+			seen[r.ID] = true
+		}
+		next = page.Next
+	}
+	d.report.ChatResults = len(seen)
+	return nil
+}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -21,7 +21,9 @@
 	Resent int
 	// Trainer is the trainer's own account.
 	Trainer standinapi.TrainerResults
-	// JobResults counts the results of the job that were listed.
+	// ChatResults counts the results of the job of completions that were listed.
+	ChatResults int
+	// JobResults counts those of the job on the row platform.
 	JobResults int
 	// Broken lists the promises that did not hold.
 	Broken []string
@@ -74,7 +76,8 @@
 	for _, step := range r.Trainer.Steps {
 		p("  training step %d       %d samples, waited %d ms, oldest %d versions behind", step.Step, step.Samples, step.IdleMillis, step.MaxStaleness)
 	}
-	p("  job                   %d of %d results", r.JobResults, jobRollouts)
+	p("  job of completions    %d of %d results", r.ChatResults, jobRollouts)
+	p("  job on row platform   %d of %d results", r.JobResults, jobRollouts)
 	if len(r.Broken) == 0 {
 		p("  promises              all held")
 		return
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -174,7 +175,7 @@
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	it.state, it.engine, it.stop, it.leaves = running, target.ID, cancel, false
 	it.had, it.lastEvent = len(it.events), time.Now()
-	call := Run{Rollout: it.rollout, Host: r.spec.Host, Model: r.spec.Model, After: it.had}
+	call := Run{Rollout: it.rollout, Host: r.spec.Host, Model: r.spec.Model, After: it.had, Text: slices.Clip(it.events)}
 	if p.rule.OnPolicy && it.had > 0 {
 		call.Version = it.events[0].Version
 	}
--- a/internal/job/ports.go
+++ b/internal/job/ports.go
@@ -15,6 +15,8 @@
 	Model string
 	// After is the number of events that are known already; the run goes on behind them.
 	After int
+	// Text holds these events. It must not be changed.
+	Text []Event
 	// Version demands a version of the weights; zero accepts any.
 	Version uint64
 }
--- a/internal/platform/provide.go
+++ b/internal/platform/provide.go
@@ -14,6 +14,9 @@
 	do.Provide(i, func(i do.Injector) (Table, error) {
 		return &httpTable{transport: do.MustInvoke[*transport](i)}, nil
 	})
+	do.Provide(i, func(i do.Injector) (Rows, error) {
+		return &httpRows{transport: do.MustInvoke[*transport](i)}, nil
+	})
 	do.Provide(i, func(i do.Injector) (Objects, error) {
 		return &httpObjects{transport: do.MustInvoke[*transport](i)}, nil
 	})
--- a/internal/platform/rows.go
+++ b/internal/platform/rows.go
@@ -7,78 +7,79 @@
 
 // RowID names one row of the partitioned row service.
 type RowID struct {
-	Table string
+	Table string `json:"table"`
 	// Part groups the rows that one transaction may change together; it may be empty.
-	Part string
-	Key  string
+	Part string `json:"part"`
+	Key  string `json:"key"`
 }
 
 // VersionedRow is one row as it stood at a version.
 type VersionedRow struct {
 	RowID
-	Value []byte
+	Value []byte `json:"value"`
 	// Version grows with each write, over all rows. Zero means that the row does not exist.
-	Version uint64
+	Version uint64 `json:"version"`
 	// Deleted marks, in a list of changes, a row that was removed.
-	Deleted bool
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // RowRange selects rows of one part of a table, in the order of their keys.
 type RowRange struct {
-	Table string
-	Part  string
+	Table string `json:"table"`
+	Part  string `json:"part"`
 	// From is the first key and To the key behind the last one; empty does not bound.
-	From, To string
+	From string `json:"from,omitempty"`
+	To   string `json:"to,omitempty"`
 	// Limit bounds the number of rows; zero leaves it to the service.
-	Limit int
+	Limit int `json:"limit,omitempty"`
 }
 
 // RowPage is an answer with rows as of one moment.
 type RowPage struct {
-	Rows []VersionedRow
+	Rows []VersionedRow `json:"rows"`
 	// More is true if the range or the changes go on.
-	More bool
+	More bool `json:"more"`
 	// Version is the newest version of the service, or the one from which to ask for further changes.
-	Version uint64
+	Version uint64 `json:"version"`
 	// Now is the service's steady clock.
-	Now time.Duration
+	Now time.Duration `json:"now_ns"`
 }
 
 // PartPage is an answer with the parts of a table.
 type PartPage struct {
-	Parts   []string
-	More    bool
-	Version uint64
-	Now     time.Duration
+	Parts   []string      `json:"parts"`
+	More    bool          `json:"more"`
+	Version uint64        `json:"version"`
+	Now     time.Duration `json:"now_ns"`
 }
 
 // RowCheck is a condition of a transaction: the row must be at exactly this version.
 type RowCheck struct {
 	RowID
 	// Version zero requires that the row does not exist.
-	Version uint64
+	Version uint64 `json:"version"`
 }
 
 // RowWrite sets or deletes one row.
 type RowWrite struct {
 	RowID
-	Value  []byte
-	Delete bool
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
 }
 
 // RowTransaction applies all writes if all checks hold, and none otherwise. All
 // its rows share one part.
 type RowTransaction struct {
-	Checks []RowCheck
-	Writes []RowWrite
+	Checks []RowCheck `json:"checks"`
+	Writes []RowWrite `json:"writes"`
 }
 
 // Receipt is the acknowledgement of a transaction.
 type Receipt struct {
 	// Version is the version that the written rows have.
-	Version uint64
+	Version uint64 `json:"version"`
 	// Now is the service's steady clock.
-	Now time.Duration
+	Now time.Duration `json:"now_ns"`
 }
 
 // Limits of one transaction, as the row service states them.
--- /dev/null
+++ b/internal/platform/rows_http.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+)
+
+// httpRows is the row service of the product's own platform.
+type httpRows struct{ transport *transport }
+
+// Read implements Rows.
+func (r *httpRows) Read(ctx context.Context, q RowRange) (RowPage, error) {
+	var page RowPage
+	err := r.call(ctx, PathRowsRead, reads, q, &page)
+	return page, err
+}
+
+// Parts implements Rows.
+func (r *httpRows) Parts(ctx context.Context, table, after string) (PartPage, error) {
+	var page PartPage
+	err := r.call(ctx, PathRowsParts, reads, PartsRequest{Table: table, After: after}, &page)
+	return page, err
+}
+
+// Changes implements Rows.
+func (r *httpRows) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (RowPage, error) {
+	var page RowPage
+	// An answer has half of the call's time left for its way.
+	wait = min(wait, r.transport.timeout/2)
+	err := r.call(ctx, PathRowsChanges, reads, ChangesRequest{Table: table, After: after, Wait: wait}, &page)
+	return page, err
+}
+
+// Commit implements Rows.
+func (r *httpRows) Commit(ctx context.Context, tx RowTransaction) (Receipt, error) {
+	var receipt Receipt
+	err := r.call(ctx, PathRowsCommit, writes, tx, &receipt)
+	return receipt, err
+}
+
+func (r *httpRows) call(ctx context.Context, path string, effect effect, request, answer any) error {
+	got, err := r.transport.postJSON(ctx, path, effect, request, answer)
+	switch {
+	case err != nil:
+		return err
+	case got.status == http.StatusConflict:
+		return failure.New(failure.Conflict, "", "a check of the transaction did not hold")
+	case got.status == http.StatusGone:
+		return failure.New(failure.HistoryLost, "", "the changes asked for are forgotten")
+	case got.status >= statusClassSuccess:
+		return refused(got, call{path: path})
+	}
+	return nil
+}
--- a/internal/platform/transport_test.go
+++ b/internal/platform/transport_test.go
@@ -142,3 +142,31 @@
 		t.Errorf("%s, want %s", got, want)
 	}
 }
+
+func TestAnswersOfTheRowService(t *testing.T) {
+	answers := map[int]failure.Kind{
+		http.StatusConflict: failure.Conflict, http.StatusGone: failure.HistoryLost,
+		http.StatusServiceUnavailable: failure.StoreInDoubt, http.StatusBadRequest: failure.Internal,
+	}
+	for status, want := range answers {
+		rows := &httpRows{newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })}
+		if _, err := rows.Commit(t.Context(), RowTransaction{}); !failure.IsKind(err, want) {
+			t.Errorf("commit answered %d: %v", status, err)
+		}
+	}
+	page := RowPage{Rows: []VersionedRow{{RowID: RowID{Table: "t", Part: "p", Key: "k"}, Value: []byte("v"), Version: 3}}, More: true, Version: 4, Now: time.Minute}
+	var asked ChangesRequest
+	rows := &httpRows{newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if err := json.NewDecoder(r.Body).Decode(&asked); err != nil {
+			t.Error(err)
+		}
+		json.NewEncoder(w).Encode(page)
+	})}
+	got, err := rows.Changes(t.Context(), "t", 2, time.Hour)
+	if diff := cmp.Diff(page, got); err != nil || diff != "" {
+		t.Errorf("%v\n%s", err, diff)
+	}
+	if want := (ChangesRequest{Table: "t", After: 2, Wait: 2500 * time.Millisecond}); asked != want {
+		t.Errorf("asked for %+v: a question may wait for half of the call's time", asked)
+	}
+}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -1,5 +1,7 @@
 package platform
 
+import "time"
+
 // Paths of the platform's HTTP interface. All bodies are JSON.
 const (
 	// PathTableRead takes a ReadRequest and answers a RowsResponse.
@@ -16,8 +18,29 @@
 	PathWeights = "/weights/"
 	// PathWeightData is followed by model/version; an engine's GET streams the weights at the store's limited rate.
 	PathWeightData = "/weight-data/"
+	// PathRowsRead takes a RowRange and answers a RowPage.
+	PathRowsRead = "/rows/read"
+	// PathRowsParts takes a PartsRequest and answers a PartPage.
+	PathRowsParts = "/rows/parts"
+	// PathRowsChanges takes a ChangesRequest and answers a RowPage, or 410 if the history is forgotten.
+	PathRowsChanges = "/rows/changes"
+	// PathRowsCommit takes a RowTransaction and answers a Receipt, or 409 if a check did not hold.
+	PathRowsCommit = "/rows/commit"
 )
 
+// PartsRequest asks for the parts of a table behind a part.
+type PartsRequest struct {
+	Table string `json:"table"`
+	After string `json:"after"`
+}
+
+// ChangesRequest asks for the changes of a table after a version, waiting for one if there is none.
+type ChangesRequest struct {
+	Table string        `json:"table"`
+	After uint64        `json:"after"`
+	Wait  time.Duration `json:"wait_ns"`
+}
+
 // ReadRequest asks for rows by key.
 type ReadRequest struct {
 	Keys []string `json:"keys"`
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
-	"github.com/sapphirehatch/sapphirehatch/internal/bearer"
 	"github.com/sapphirehatch/sapphirehatch/internal/callerapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
@@ -102,17 +101,8 @@
 }
 
 func (a *API) authenticate(ctx context.Context, http *fasthttp.RequestCtx, name string) (call, error) {
-	doc := a.docs.Current()
-	if doc == nil {
-		return call{}, failure.New(failure.NotReady, failure.NotRun, "no deployment document is known yet").WithRetryAfter(time.Second)
-	}
-	token, ok := bearer.FromHeader(string(http.Request.Header.Peek(bearer.HeaderAuthorization)))
-	trainer, known := doc.Trainers[name]
-	if !ok || !known || !token.Matches(trainer.TokenSHA256) {
-		return call{}, failure.New(failure.Unauthorized, failure.NotRun, "the token is not that of trainer %q", name).
-			WithField(bearer.HeaderAuthorization)
-	}
-	return call{ctx: ctx, http: http, doc: doc, trainer: trainer}, nil
+	doc, trainer, err := callerapi.AuthenticateTrainer(a.docs, http, name)
+	return call{ctx: ctx, http: http, doc: doc, trainer: trainer}, err
 }
 
 func (a *API) create(c call) error {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -10,7 +10,11 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/strictini"
 )
 
-const defaultPlatformTimeout = time.Second
+const (
+	defaultPlatformTimeout = time.Second
+	// defaultJobRetention leaves a trainer an hour to read a job again after a restart of its own.
+	defaultJobRetention = time.Hour
+)
 
 // Load reads and checks the settings file at path. It returns an
 // InvalidSettings error that carries all Problems of the file.
@@ -37,6 +41,7 @@
 		Platform: Platform{Timeout: defaultPlatformTimeout},
 		Log:      Log{Level: "info"},
 		Timing:   DefaultTiming(),
+		Jobs:     Jobs{Accept: "no", Retention: defaultJobRetention},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	Log      Log      `ini:"log"`
 	Timing   Timing   `ini:"timing"`
 	Rollout  Rollout  `ini:"rollout"`
+	Jobs     Jobs     `ini:"jobs"`
 }
 
 // Host is the [host] section.
@@ -66,6 +67,14 @@
 	Off []string `ini:"off" delim:"," validate:"dive,oneof=order hedge spares resume spread"`
 }
 
+// Jobs is the [jobs] section.
+type Jobs struct {
+	// Accept says whether this host keeps and runs jobs. It needs the platform's row service.
+	Accept string `ini:"accept" validate:"oneof=yes no"`
+	// Retention is how long a job that is over is kept after its acceptance.
+	Retention time.Duration `ini:"retention" validate:"gt=0"`
+}
+
 // Timing is the [timing] section. Every value has a default.
 type Timing struct {
 	// ConfigPoll is the interval at which the configuration row is read.
--- a/internal/standin/platform/routes.go
+++ b/internal/standin/platform/routes.go
@@ -29,6 +29,10 @@
 		s.scan(ctx)
 	case path == platform.PathTableTransact:
 		s.transact(ctx)
+	case path == platform.PathRowsRead || path == platform.PathRowsParts || path == platform.PathRowsChanges:
+		s.readRows(ctx, path)
+	case path == platform.PathRowsCommit:
+		s.commitRows(ctx)
 	case strings.HasPrefix(path, platform.PathObjects):
 		s.object(ctx, strings.TrimPrefix(path, platform.PathObjects))
 	case path == platform.PathMembers || strings.HasPrefix(path, platform.PathMembers+"/"):
--- /dev/null
+++ b/internal/standin/platform/rows.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+)
+
+// readRows answers the reading calls of the row service.
+func (s *Standin) readRows(ctx *fasthttp.RequestCtx, path string) {
+	switch path {
+	case platform.PathRowsRead:
+		var q platform.RowRange
+		if s.admitRead(ctx, &q) {
+			page, err := s.rows.Read(s.Context(), q)
+			answerRows(ctx, page, err)
+		}
+	case platform.PathRowsParts:
+		var q platform.PartsRequest
+		if s.admitRead(ctx, &q) {
+			page, err := s.rows.Parts(s.Context(), q.Table, q.After)
+			answerRows(ctx, page, err)
+		}
+	default:
+		var q platform.ChangesRequest
+		if s.admitRead(ctx, &q) {
+			page, err := s.rows.Changes(s.Context(), q.Table, q.After, q.Wait)
+			answerRows(ctx, page, err)
+		}
+	}
+}
+
+// admitRead decodes a reading call and waits for its turn.
+func (s *Standin) admitRead(ctx *fasthttp.RequestCtx, q any) bool {
+	if !jsonhttp.Read(ctx, q) || s.readRate.Wait(s.Context()) != nil {
+		return false
+	}
+	s.counters.reads.Add(1)
+	return true
+}
+
+func (s *Standin) commitRows(ctx *fasthttp.RequestCtx) {
+	var tx platform.RowTransaction
+	if !jsonhttp.Read(ctx, &tx) || s.writeRate.Wait(s.Context()) != nil {
+		return
+	}
+	s.counters.writes.Add(1)
+	receipt, err := s.rows.Commit(s.Context(), tx)
+	answerRows(ctx, receipt, err)
+}
+
+func answerRows(ctx *fasthttp.RequestCtx, page any, err error) {
+	switch {
+	case err == nil:
+		jsonhttp.Answer(ctx, fasthttp.StatusOK, page)
+	case failure.IsKind(err, failure.Conflict):
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+	case failure.IsKind(err, failure.HistoryLost):
+		ctx.SetStatusCode(fasthttp.StatusGone)
+	default:
+		jsonhttp.Refuse(ctx, failure.As(err))
+	}
+}
--- a/internal/standin/platform/standin.go
+++ b/internal/standin/platform/standin.go
@@ -10,6 +10,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
 	"github.com/sapphirehatch/sapphirehatch/internal/standin/control"
 	"github.com/sapphirehatch/sapphirehatch/internal/standinapi"
 )
@@ -50,6 +52,7 @@
 	cfg Config
 
 	table     *table
+	rows      platform.Rows
 	members   *members
 	catalogue *catalogue
 	counters  counters
@@ -65,6 +68,7 @@
 	s := &Standin{
 		cfg:        cfg,
 		table:      newTable(),
+		rows:       platformtest.NewRows().Client(),
 		members:    newMembers(cfg.MemberTTL),
 		catalogue:  newCatalogue(),
 		objects:    map[string][]byte{},
--- a/internal/trainerapi/wire.go
+++ b/internal/trainerapi/wire.go
@@ -7,6 +7,11 @@
 //	                                                 bound since: a trainer that does not have them cancels the step and asks for another
 //	POST   /v1/trainers/{trainer}/steps/{n}/ack      200 StepProgress
 //	DELETE /v1/trainers/{trainer}/steps/{n}          200 StepProgress
+//
+//	POST   /v1/jobs/{trainer}/{job}                     JobRequest -> 202 JobAccepted (idempotent)
+//	GET    /v1/jobs/{trainer}/{job}/results             200 JobResults; queries "after" (position) and "wait" (duration)
+//	GET    /v1/jobs/{trainer}/{job}/rollouts/{rollout}  200 JobRollout
+//	DELETE /v1/jobs/{trainer}/{job}                     200 (idempotent)
 package trainerapi
 
 import "github.com/sapphirehatch/sapphirehatch/internal/engineapi"
@@ -92,3 +97,51 @@
 
 // PathScore is the path of a scoring service; it takes a ScoreRequest.
 const PathScore = "/score"
+
+// PathJobs is the prefix of the job API.
+const PathJobs = "/v1/jobs/"
+
+// JobRequest hands in a job.
+type JobRequest struct {
+	// MinVersion is the oldest version of the weights that may generate a token.
+	MinVersion uint64       `json:"min_version,omitempty"`
+	Rollouts   []JobRollout `json:"rollouts"`
+}
+
+// JobRollout is one completion of a job.
+type JobRollout struct {
+	// ID is unique within the job.
+	ID       string              `json:"id"`
+	Messages []engineapi.Message `json:"messages"`
+	// MaxTokens bounds the completion, in tokens.
+	MaxTokens int `json:"max_tokens"`
+	// ExpectedTokens is the trainer's estimate of its length, in tokens; zero if it has none.
+	ExpectedTokens int `json:"expected_tokens,omitempty"`
+}
+
+// JobAccepted says that a job is kept.
+type JobAccepted struct {
+	Job      string `json:"job"`
+	Rollouts int    `json:"rollouts"`
+}
+
+// JobResults are results of a job from a position on. A position keeps its result.
+type JobResults struct {
+	// Total is the number of the job's rollouts.
+	Total int `json:"total"`
+	// Next is the position behind the last result.
+	Next    int         `json:"next"`
+	Results []JobResult `json:"results"`
+}
+
+// JobResult is one ended rollout.
+type JobResult struct {
+	ID string `json:"id"`
+	// State is "completed" or "dead".
+	State        string `json:"state"`
+	Text         string `json:"text"`
+	Tokens       int    `json:"tokens"`
+	FinishReason string `json:"finish_reason"`
+	// Versions are all versions of the weights that produced a token of the text, ascending.
+	Versions []uint64 `json:"versions"`
+}
