Wake placing only when a place may be free, keep a removed host removed

Cause: each event of each stream woke all that wait for a place, and a heartbeat that was on its way wrote the row of a stopped host again, which then counted as dead for a minute.

Before: seven cases of TestOnlyWhatMayFreeAPlaceWakes and TestRemovedHostStaysRemoved red. After: green.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -129,9 +130,12 @@
 			delete(old.refusedUntil, model)
 		}
 	}
+	same := old.Draining == r.Draining && old.Slots == r.Slots && old.missingSince.IsZero() && maps.Equal(old.Models, r.Models)
 	old.Replica = r
 	old.missingSince = time.Time{}
-	f.signal()
+	if !same {
+		f.signal()
+	}
 }
 
 // Remove takes in that a replica vanished from discovery.
@@ -144,7 +148,6 @@
 	}
 	f.log.Info("replica gone", "replica", id, "draining", m.Draining)
 	m.missingSince = time.Now()
-	f.signal()
 }
 
 // gone reports whether a member may not be used any more.
@@ -247,12 +250,7 @@
 
 // candidates returns the replicas of a service in random order, so that hosts with the same knowledge spread.
 func (f *Fleet) candidates(want Want, now time.Time) ([]*member, []placement.Replica) {
-	var members []*member
-	for _, m := range f.members {
-		if m.Service == want.Service && !m.gone(now) {
-			members = append(members, m)
-		}
-	}
+	members := f.service(want.Service, now)
 	ring := ringOf(members, want.Model)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	usual := usualPace(members, now)
@@ -265,6 +263,17 @@
 	return members, replicas
 }
 
+// service returns the replicas of a service that may be used.
+func (f *Fleet) service(name string, now time.Time) []*member {
+	var members []*member
+	for _, m := range f.members {
+		if m.Service == name && !m.gone(now) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // ringOf returns the distances of a service's replicas on the ring for a model.
 // All hosts that know the same replicas compute the same.
 func ringOf(members []*member, model string) map[string]float64 {
@@ -330,62 +339,78 @@
 
 // Release takes a reserved request off a replica.
 func (f *Fleet) Release(id string) {
-	f.with(id, func(m *member) { m.inFlight = max(0, m.inFlight-1) })
+	f.with(id, func(m *member) (frees bool) {
+		m.inFlight = max(0, m.inFlight-1)
+		return true
+	})
 }
 
-// with changes a member, if it is still known.
-func (f *Fleet) with(id string, change func(m *member)) {
+// with changes a member, if it is still known, and wakes those that wait for a
+// place if the change may free one.
+func (f *Fleet) with(id string, change func(m *member) (frees bool)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m := f.members[id]; m != nil {
-		change(m)
+	if m := f.members[id]; m != nil && change(m) {
 		f.signal()
 	}
 }
 
 // Succeeded records a whole answer.
 func (f *Fleet) Succeeded(id string) {
-	f.with(id, func(m *member) { m.failures, m.retryAt = 0, time.Time{} })
+	f.with(id, func(m *member) (frees bool) {
+		frees = m.failures > 0 || !m.retryAt.IsZero()
+		m.failures, m.retryAt = 0, time.Time{}
+		return frees
+	})
 }
 
 // Refused records that a replica did not run a request; model is empty for plain services.
 func (f *Fleet) Refused(id, model string) {
-	f.with(id, func(m *member) {
+	f.with(id, func(m *member) (frees bool) {
 		until := time.Now().Add(refusalPause)
 		if model == "" {
 			m.retryAt = until
-			return
+		} else {
+			m.refusedUntil[model] = until
 		}
-		m.refusedUntil[model] = until
+		return false
 	})
 }
 
 // Pause keeps a model's new requests from a replica for a while, as when it is about to load weights.
 func (f *Fleet) Pause(id, model string, d time.Duration) {
-	f.with(id, func(m *member) { m.refusedUntil[model] = time.Now().Add(d) })
+	f.with(id, func(m *member) (frees bool) {
+		m.refusedUntil[model] = time.Now().Add(d)
+		return false
+	})
 }
 
 // Failed records that a replica broke off, could not be reached or was silent.
 func (f *Fleet) Failed(id string) {
-	f.with(id, func(m *member) {
+	f.with(id, func(m *member) (frees bool) {
 		m.failures++
 		m.retryAt = time.Now().Add(min(longestPause, failurePause<<min(m.failures-1, 8)))
+		return false
 	})
 }
 
 // Loaded records a load report: requests that ran and waited, and the slots.
 func (f *Fleet) Loaded(id string, running, waiting, slots int) {
-	f.with(id, func(m *member) {
-		m.others, m.othersAt = max(0, float64(running+waiting-m.inFlight)), time.Now()
+	f.with(id, func(m *member) (frees bool) {
+		now := time.Now()
+		others := max(0, float64(running+waiting-m.inFlight))
+		frees = others < m.othersNow(now)
+		m.others, m.othersAt = others, now
 		if slots > 0 && m.Slots == 0 {
 			m.Slots = slots
 		}
+		return frees
 	})
 }
 
 // Paced records the time that a replica took for a comparable piece of work.
 func (f *Fleet) Paced(id string, took time.Duration) {
-	f.with(id, func(m *member) {
+	f.with(id, func(m *member) (frees bool) {
 		now := time.Now()
 		if m.pace <= 0 || now.Sub(m.paceAt) > paceTerm {
 			m.pace = took.Seconds()
@@ -393,6 +418,7 @@
 			m.pace += paceWeight * (took.Seconds() - m.pace)
 		}
 		m.paceAt = now
+		return false
 	})
 }
 
@@ -405,18 +431,20 @@
 		return 1
 	}
 	now := time.Now()
-	members, _ := f.candidates(Want{Service: m.Service}, now)
+	members := f.service(m.Service, now)
 	return m.view("", usualPace(members, now), now).Pace
 }
 
 // Versioned records the version of a model that an answer showed.
 func (f *Fleet) Versioned(id, model string, version uint64) {
-	f.with(id, func(m *member) {
-		if version > max(m.seen[model], m.Models[model]) {
-			// The load that the replica refused requests for has ended.
-			delete(m.refusedUntil, model)
+	f.with(id, func(m *member) (frees bool) {
+		if version <= max(m.seen[model], m.Models[model]) {
+			return false
 		}
-		m.seen[model] = max(m.seen[model], version)
+		// The load that the replica refused requests for has ended.
+		delete(m.refusedUntil, model)
+		m.seen[model] = version
+		return true
 	})
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -170,3 +170,44 @@
 		}
 	})
 }
+
+// Events of streams come by the hundred a second; only what may free a place
+// wakes those that wait for one.
+func TestOnlyWhatMayFreeAPlaceWakes(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *Fleet)
+		wakes  bool
+	}{
+		{"a place becomes free", func(f *Fleet) { f.Release("a") }, true},
+		{"an event arrives", func(f *Fleet) { f.Paced("a", time.Second) }, false},
+		{"an event of the known version", func(f *Fleet) { f.Versioned("a", "m", 1) }, false},
+		{"an event of a new version", func(f *Fleet) { f.Versioned("a", "m", 2) }, true},
+		{"a refusal", func(f *Fleet) { f.Refused("a", "m") }, false},
+		{"a failure", func(f *Fleet) { f.Failed("a") }, false},
+		{"an answer of a healthy replica", func(f *Fleet) { f.Succeeded("a") }, false},
+		{"an answer after a failure", func(f *Fleet) { f.Failed("b"); f.Succeeded("b") }, true},
+		{"the same entry again", func(f *Fleet) { f.Put(Replica{ID: "a", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 1}}) }, false},
+		{"an entry with a new version", func(f *Fleet) { f.Put(Replica{ID: "a", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 2}}) }, true},
+		{"a report of more load", func(f *Fleet) { f.Loaded("a", 3, 0, 4) }, false},
+		{"a report of less load", func(f *Fleet) { f.Loaded("a", 3, 0, 4); f.Loaded("a", 1, 0, 4) }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, f *Fleet) {
+				changed := f.Changed()
+				test.change(f)
+				select {
+				case <-changed:
+					if !test.wakes {
+						t.Error("it wakes")
+					}
+				default:
+					if test.wakes {
+						t.Error("it does not wake")
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -27,9 +27,13 @@
 	roster *Roster
 	log    logr.Logger
 
-	mu   sync.Mutex
-	self Host
-	lost bool
+	// writing is held while the row is written.
+	writing sync.Mutex
+
+	mu      sync.Mutex
+	self    Host
+	lost    bool
+	removed bool
 }
 
 // NewHeartbeat returns the heartbeat of a host.
@@ -67,8 +71,13 @@
 	h.beat(context.Background())
 }
 
-// Remove deletes the host's row at the end of a stop.
+// Remove deletes the host's row at the end of a stop. There are no heartbeats after it.
 func (h *Heartbeat) Remove(ctx context.Context) {
+	h.mu.Lock()
+	h.removed = true
+	h.mu.Unlock()
+	h.writing.Lock()
+	defer h.writing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	row := rowID(h.Self().ID)
@@ -78,12 +87,17 @@
 }
 
 func (h *Heartbeat) beat(ctx context.Context) {
+	h.writing.Lock()
+	defer h.writing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	h.mu.Lock()
 	h.self.Beat++
-	self := h.self
+	self, removed := h.self, h.removed
 	h.mu.Unlock()
+	if removed {
+		return
+	}
 	value, err := json.Marshal(self)
 	if err != nil {
 		h.log.Error(err, "heartbeat can't be encoded")
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -176,3 +176,17 @@
 		}
 	})
 }
+
+func TestRemovedHostStaysRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		nodes := startAll(rows, 2)
+		defer stopAll(nodes)
+		// The heartbeat still runs while the last requests of a stop end.
+		nodes[0].beat.Remove(t.Context())
+		time.Sleep(2 * time.Second)
+		if rows.Row(rowID("host-0")).Version != 0 {
+			t.Error("the next heartbeat wrote the row of a removed host again")
+		}
+	})
+}
