Log each retry and what a choice rested on, sample lines by message

Cause: retries of a plain request were logged at debug only, so that on call nobody could see which replicas had been asked; there were no histograms of queue and first byte; lines did not say how old their inputs were.

Change: attempts that fail, refuse or are doubled are info lines; the last line of a request has the trail of its attempts, the configuration's version and what the last replica was chosen by (requests there, the age of its report, pace). Queue and first byte are histograms by class.

--- a/internal/command/logger.go
+++ b/internal/command/logger.go
@@ -7,19 +7,29 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/logline"
 )
 
 // newLogger returns a logger that writes one line of key=value pairs for each event.
 func newLogger(w io.Writer, level string) (logr.Logger, error) {
-	return newLeveledLogger(w, level, new(slog.LevelVar))
+	l := new(slog.LevelVar)
+	if err := setLevel(l, level); err != nil {
+		return logr.Discard(), err
+	}
+	return logr.FromSlogHandler(textHandler(w, l)), nil
 }
 
-// newLeveledLogger is newLogger with a level that may be changed later.
-func newLeveledLogger(w io.Writer, name string, level *slog.LevelVar) (logr.Logger, error) {
+// newSampledLogger is newLogger with a level that may be changed later and with a
+// bounded number of lines of each message in a second.
+func newSampledLogger(w io.Writer, name string, level *slog.LevelVar) (logr.Logger, error) {
 	if err := setLevel(level, name); err != nil {
 		return logr.Discard(), err
 	}
-	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})), nil
+	return logr.FromSlogHandler(logline.NewSampler(textHandler(w, level))), nil
+}
+
+func textHandler(w io.Writer, level *slog.LevelVar) slog.Handler {
+	return slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})
 }
 
 // setLevel sets a level by its name in the settings.
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -47,7 +47,7 @@
 	level := new(slog.LevelVar)
 	lines := logline.New(out.Out)
 	defer lines.Close()
-	log, err := newLeveledLogger(lines, s.Log.Level, level)
+	log, err := newSampledLogger(lines, s.Log.Level, level)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,24 @@
 	Draining bool
 	// Models are the versions of the weights by model.
 	Models map[string]uint64
+	// Basis is what Reserve chose the replica by.
+	Basis Basis
+}
+
+// Basis is what a host knew of a replica when it chose it.
+type Basis struct {
+	// InFlight is the number of this host's requests there.
+	InFlight int
+	// Others is the estimated number of other hosts' requests, from a report of this age; zero without one.
+	Others    float64
+	ReportAge time.Duration
+	// Pace is the time that the replica takes, relative to its peers; 1 is usual.
+	Pace float64
+}
+
+// Fields returns the basis as keys and values of a log line.
+func (b Basis) Fields() []any {
+	return []any{"in_flight", b.InFlight, "others", math.Round(b.Others*10) / 10, "report_age", b.ReportAge.Round(time.Millisecond), "pace", math.Round(b.Pace*100) / 100}
 }
 
 type member struct {
@@ -230,8 +248,14 @@
 	if chosen < 0 {
 		return Replica{}, failure.New(failure.QueueFull, failure.NotRun, "no replica of service %s has a place", want.Service)
 	}
-	members[chosen].inFlight++
-	return members[chosen].copy(), nil
+	m := members[chosen]
+	r := m.copy()
+	r.Basis = Basis{InFlight: m.inFlight, Others: replicas[chosen].Others, Pace: replicas[chosen].Pace}
+	if !m.othersAt.IsZero() {
+		r.Basis.ReportAge = now.Sub(m.othersAt)
+	}
+	m.inFlight++
+	return r, nil
 }
 
 // Peek chooses a replica as Reserve does without counting a request there. It
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -187,8 +187,12 @@
 		{"a failure", func(f *Fleet) { f.Failed("a") }, false},
 		{"an answer of a healthy replica", func(f *Fleet) { f.Succeeded("a") }, false},
 		{"an answer after a failure", func(f *Fleet) { f.Failed("b"); f.Succeeded("b") }, true},
-		{"the same entry again", func(f *Fleet) { f.Put(Replica{ID: "a", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 1}}) }, false},
-		{"an entry with a new version", func(f *Fleet) { f.Put(Replica{ID: "a", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 2}}) }, true},
+		{"the same entry again", func(f *Fleet) {
+			f.Put(Replica{ID: "a", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 1}})
+		}, false},
+		{"an entry with a new version", func(f *Fleet) {
+			f.Put(Replica{ID: "a", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 2}})
+		}, true},
 		{"a report of more load", func(f *Fleet) { f.Loaded("a", 3, 0, 4) }, false},
 		{"a report of less load", func(f *Fleet) { f.Loaded("a", 3, 0, 4); f.Loaded("a", 1, 0, 4) }, true},
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,9 +42,13 @@
 // Call is one request.
 type Call struct {
 	// ID names the request in logs.
-	ID      string
-	Route   *routes.Route
-	Request *fasthttp.Request
+	ID string
+	// Kind is the request's class in metrics.
+	Kind telemetry.Kind
+	// Configuration is the version of the configuration that the route is of.
+	Configuration uint64
+	Route         *routes.Route
+	Request       *fasthttp.Request
 	// Deadline is when the caller's wait ends.
 	Deadline time.Time
 }
@@ -73,7 +78,10 @@
 	last *fasthttp.Response
 	// answeredBy is the replica of the latest answer.
 	answeredBy string
-	err        error
+	// basis is what the latest replica was chosen by.
+	basis fleet.Basis
+	trail trail
+	err   error
 }
 
 // Report says what a call took.
@@ -92,18 +100,20 @@
 	defer cancel()
 	f := &forward{
 		Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), avoid: map[string]bool{},
-		ends: make(chan outcome, max(1, call.Route.MaxAttempts)+1),
+		ends: make(chan outcome, max(1, call.Route.MaxAttempts)+1), trail: trail{began: began},
 	}
 	answer, err := f.run(ctx)
 	if err != nil {
 		e := failure.As(err)
 		g.events.Event("request_failed")
 		g.log.Info("request failed", "id", call.ID, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
-			"outcome", e.Outcome, "sent", f.sent, "retry_after", e.RetryAfter, "error", e.Error())
+			"outcome", e.Outcome, "sent", f.sent, "retry_after", e.RetryAfter, "configuration", call.Configuration, "trail", f.trail.String(), "error", e.Error())
 		return f.report(), e
 	}
-	g.log.Info("request answered", "id", call.ID, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
-		"status", answer.StatusCode(), "sent", f.sent, "took", time.Since(began))
+	g.log.Info("request answered", append([]any{
+		"id", call.ID, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
+		"status", answer.StatusCode(), "sent", f.sent, "took", time.Since(began), "configuration", call.Configuration, "trail", f.trail.String(),
+	}, f.basis.Fields()...)...)
 	answer.CopyTo(resp)
 	fasthttp.ReleaseResponse(answer)
 	return f.report(), nil
@@ -152,16 +162,21 @@
 		f.err = err
 		return false
 	}
+	if len(f.avoid) == 0 {
+		f.events.Queue(f.call.Kind, time.Since(f.trail.began))
+	}
 	f.sent++
 	f.flying++
 	f.avoid[target.ID] = true
+	f.basis = target.Basis
 	req := fasthttp.AcquireRequest()
 	f.call.Request.CopyTo(req)
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
 		resp := fasthttp.AcquireResponse()
 		began := time.Now()
-		err := f.exchanger.Exchange(ctx, target, req, resp, f.call.Route.Kind != routes.Idempotent)
+		traced := telemetry.WithFirstByte(ctx, func() { f.events.FirstByte(f.call.Kind, time.Since(began)) })
+		err := f.exchanger.Exchange(traced, target, req, resp, f.call.Route.Kind != routes.Idempotent)
 		f.fleet.Release(target.ID)
 		f.ends <- outcome{target: target, resp: resp, err: err, took: time.Since(began)}
 	}()
@@ -183,7 +198,7 @@
 	case <-hedge:
 		if f.next(ctx) {
 			f.events.Event("second_replica_asked")
-			f.log.V(1).Info("second replica asked", "id", f.call.ID, "sent", f.sent)
+			f.log.Info("second replica asked", append([]any{"id", f.call.ID, "sent", f.sent, "waited", time.Since(f.trail.began)}, f.basis.Fields()...)...)
 		}
 	case <-ctx.Done():
 	}
@@ -198,6 +213,7 @@
 		f.fleet.Paced(end.target.ID, end.took)
 		f.events.Exchange("whole", end.took)
 		f.answeredBy = end.target.ID
+		f.trail.add(end.target.ID, strconv.Itoa(end.resp.StatusCode()))
 		f.unknown = true
 		if end.resp.StatusCode() == fasthttp.StatusInternalServerError {
 			f.failures++
@@ -206,13 +222,16 @@
 			return end.resp
 		}
 		f.last = end.resp
-		f.log.V(1).Info("replica answered with a failure", "id", f.call.ID, "replica", end.target.ID, "status", end.resp.StatusCode())
+		f.log.Info("replica answered with a failure", "id", f.call.ID, "replica", end.target.ID, "status", end.resp.StatusCode())
 		return nil
 	}
 	f.err = end.err
 	f.events.Event("attempt_failed")
 	e := failure.As(end.err)
-	f.log.V(1).Info("attempt failed", "id", f.call.ID, "replica", end.target.ID, "kind", e.Kind, "outcome", e.Outcome, "took", end.took, "error", e.Error())
+	f.trail.add(end.target.ID, string(e.Kind))
+	f.log.Info("attempt ended", append([]any{
+		"id", f.call.ID, "replica", end.target.ID, "kind", e.Kind, "outcome", e.Outcome, "took", end.took, "error", e.Error(),
+	}, end.target.Basis.Fields()...)...)
 	switch {
 	case ctx.Err() != nil:
 		f.unknown = f.unknown || e.Outcome != failure.NotRun
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,7 @@
 	sent    int
 	avoid   map[string]bool
 	sinkErr error
+	trail   trail
 }
 
 // Stream forwards a request whose answer is a stream. after is the event behind
@@ -54,20 +55,24 @@
 // answer was no stream, it is left in resp. An error after Sink.Begin means that
 // the stream must not look whole.
 func (g *Gateway) Stream(ctx context.Context, streamer Streamer, call Call, after int, sink Sink, resp *fasthttp.Response) error {
-	s := &streaming{Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), sink: sink, after: after, avoid: map[string]bool{}}
+	s := &streaming{Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), sink: sink, after: after, avoid: map[string]bool{}, trail: trail{began: time.Now()}}
 	giveUp := time.Now().Add(placeWait(call.Route))
 	for {
 		target, err := g.fleet.Reserve(fleet.Want{Service: s.service, Request: placement.Request{Domain: g.domain, Avoid: s.avoid, Queue: true}})
 		if err == nil {
 			err = s.attempt(ctx, streamer, target, resp)
 			if err == nil {
+				g.log.Info("stream ended", append([]any{
+					"id", call.ID, "route", call.Route.Name, "service", s.service, "replica", target.ID, "status", resp.StatusCode(), "sent", s.sent,
+					"events", s.after, "configuration", call.Configuration, "trail", s.trail.String(),
+				}, target.Basis.Fields()...)...)
 				return nil
 			}
 		}
 		if end := s.judge(ctx, err, giveUp); end != nil {
 			e := failure.As(end)
 			g.log.Info("stream failed", "id", call.ID, "route", call.Route.Name, "service", s.service, "kind", e.Kind, "outcome", e.Outcome,
-				"sent", s.sent, "after", s.after, "error", e.Error())
+				"sent", s.sent, "after", s.after, "configuration", call.Configuration, "trail", s.trail.String(), "error", e.Error())
 			return e
 		}
 	}
@@ -84,8 +89,12 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	s.call.Request.CopyTo(req)
+	if len(s.avoid) == 0 {
+		s.events.Queue(s.call.Kind, time.Since(s.trail.began))
+	}
 	s.sent++
 	s.avoid[target.ID] = true
+	began, seen := time.Now(), false
 	err := streamer.StreamEvents(ctx, target, req, resp, s.after, func(header *fasthttp.ResponseHeader) {
 		if !s.begun {
 			s.begun = true
@@ -97,14 +106,25 @@
 		} else {
 			silent.Stop()
 		}
+		if !seen {
+			seen = true
+			s.events.FirstByte(s.call.Kind, time.Since(began))
+		}
 		s.after = id
 		s.sinkErr = s.sink.Event(raw)
 		return s.sinkErr
 	})
+	if err == nil {
+		s.trail.add(target.ID, "whole")
+		s.fleet.Succeeded(target.ID)
+		return nil
+	}
 	e := failure.As(err)
+	s.trail.add(target.ID, string(e.Kind))
+	s.log.Info("attempt ended", append([]any{
+		"id", s.call.ID, "replica", target.ID, "kind", e.Kind, "outcome", e.Outcome, "after", s.after, "took", time.Since(began), "error", e.Error(),
+	}, target.Basis.Fields()...)...)
 	switch {
-	case err == nil:
-		s.fleet.Succeeded(target.ID)
 	case s.sinkErr != nil:
 	case e.Outcome == failure.NotRun:
 		s.sent--
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
+	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
 
 const (
@@ -183,7 +184,11 @@
 	if it.had > 0 {
 		r.m.events.Event("rollout_resumed")
 	}
-	r.log.Info("rollout sent", "rollout", it.rollout.ID, "engine", target.ID, "after", it.had, "waited", time.Since(it.waitsSince))
+	waited := time.Since(it.waitsSince)
+	r.m.events.Queue(telemetry.Rollout, waited)
+	r.log.Info("rollout sent", append([]any{
+		"rollout", it.rollout.ID, "engine", target.ID, "after", it.had, "waited", waited, "engine_version", target.Models[r.spec.Model],
+	}, target.Basis.Fields()...)...)
 	r.mu.Unlock()
 	r.m.waits.Go(func() {
 		err := r.m.engine.Generate(ctx, target, call, func(e Event) error { return r.take(p, target, e) })
@@ -212,6 +217,8 @@
 	}
 	if len(it.events) > it.had {
 		r.m.fleet.Paced(target.ID, now.Sub(it.lastEvent))
+	} else {
+		r.m.events.FirstByte(telemetry.Rollout, now.Sub(it.lastEvent))
 	}
 	it.events = append(it.events, e)
 	it.lastEvent = now
@@ -256,7 +263,7 @@
 	case e.Kind == failure.QueueFull:
 		r.m.fleet.Refused(target.ID, r.spec.Model)
 		r.m.events.Event("rollout_refused")
-		r.log.V(1).Info("engine refused", "rollout", it.rollout.ID, "engine", target.ID, "why", err.Error())
+		r.log.Info("engine refused", append([]any{"rollout", it.rollout.ID, "engine", target.ID, "error", oneLine(err)}, target.Basis.Fields()...)...)
 		return
 	case e.Kind == failure.InvalidRequest:
 		r.giveUpLocked(it, err.Error())
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -255,6 +255,7 @@
 	// Until the try has ended, the job counts as looked after.
 	k.orphanSince = time.Now()
 	owner, version := k.owner, k.version
+	found := time.Since(m.caught)
 	m.mu.Unlock()
 	before := owner.Host + "/" + owner.Incarnation
 	owner.Host, owner.Incarnation = m.host, m.incarnation
@@ -268,11 +269,11 @@
 		Writes: []platform.RowWrite{write},
 	})
 	if err != nil {
-		m.log.Info("job not taken over", "job", id, "owner", before, "version", version, "error", err.Error())
+		m.log.Info("job not taken over", "job", id, "owner", before, "version", version, "feed_age", found, "error", err.Error())
 		return
 	}
 	m.events.Event("job_taken_over")
-	m.log.Info("job taken over", "job", id, "from", before, "version", receipt.Version, "listed", owner.Listed, "total", owner.Total)
+	m.log.Info("job taken over", "job", id, "from", before, "version", receipt.Version, "before", version, "feed_age", found, "listed", owner.Listed, "total", owner.Total)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.learn(id, owner, receipt.Version)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -27,7 +27,7 @@
 // Kind is what a caller asked for.
 type Kind string
 
-// Kinds of requests.
+// Kinds of requests. Score and Rollout are those of this host's own jobs.
 const (
 	Plain   Kind = "plain"
 	Stream  Kind = "stream"
@@ -35,6 +35,8 @@
 	Results Kind = "results"
 	Body    Kind = "body"
 	End     Kind = "end"
+	Score   Kind = "score"
+	Rollout Kind = "rollout"
 )
 
 // Request records an ended request of a caller; err is its refusal, or nil.
@@ -57,6 +59,22 @@
 	r.set.GetOrCreateCounter(`sapphirehatch_store_calls_total{call="` + call + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// Queue records how long a request waited on this host for a place at a replica.
+func (r *Recorder) Queue(kind Kind, took time.Duration) {
+	if r == nil {
+		return
+	}
+	r.set.GetOrCreateHistogram(`sapphirehatch_queue_seconds{kind="` + string(kind) + `"}`).Update(took.Seconds())
+}
+
+// FirstByte records the time from an attempt's start to the first byte of its answer, or its first event.
+func (r *Recorder) FirstByte(kind Kind, took time.Duration) {
+	if r == nil {
+		return
+	}
+	r.set.GetOrCreateHistogram(`sapphirehatch_first_byte_seconds{kind="` + string(kind) + `"}`).Update(took.Seconds())
+}
+
 // Exchange records an attempt at a replica up to a phase, such as "first_event" or "whole".
 func (r *Recorder) Exchange(phase string, took time.Duration) {
 	if r == nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/membership"
+	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
 
 // Limits of an answer.
@@ -59,7 +60,7 @@
 	}
 	resp.StreamBody = false
 	resp.SkipBody = req.Header.IsHead()
-	if err = c.readAnswer(co.conn, req, resp); err != nil {
+	if err = c.readAnswer(ctx, co.conn, req, resp); err != nil {
 		co.abandon()
 		return c.broken(ctx, target, co.conn, err)
 	}
@@ -193,10 +194,11 @@
 }
 
 // readAnswer reads one whole answer and checks that it belongs to the request.
-func (c *Client) readAnswer(co *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
+func (c *Client) readAnswer(ctx context.Context, co *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
 	if err := c.readHeader(co, req, resp); err != nil {
 		return err
 	}
+	telemetry.FirstByte(ctx)
 	return readBody(co, resp)
 }
 
