--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,7 @@
 	f.flying++
 	f.avoid[target.ID] = true
 	f.basis = target.Basis
+	f.trail.ask(target.ID)
 	req := fasthttp.AcquireRequest()
 	f.call.Request.CopyTo(req)
 	go func() {
@@ -213,7 +214,7 @@
 		f.fleet.Paced(end.target.ID, end.took)
 		f.events.Exchange("whole", end.took)
 		f.answeredBy = end.target.ID
-		f.trail.add(end.target.ID, strconv.Itoa(end.resp.StatusCode()))
+		f.trail.end(end.target.ID, strconv.Itoa(end.resp.StatusCode()))
 		f.unknown = true
 		if end.resp.StatusCode() == fasthttp.StatusInternalServerError {
 			f.failures++
@@ -228,7 +229,7 @@
 	f.err = end.err
 	f.events.Event("attempt_failed")
 	e := failure.As(end.err)
-	f.trail.add(end.target.ID, string(e.Kind))
+	f.trail.end(end.target.ID, string(e.Kind))
 	f.log.Info("attempt ended", append([]any{
 		"id", f.call.ID, "replica", end.target.ID, "kind", e.Kind, "outcome", e.Outcome, "took", end.took, "error", e.Error(),
 	}, end.target.Basis.Fields()...)...)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,6 +94,7 @@
 	}
 	s.sent++
 	s.avoid[target.ID] = true
+	s.trail.ask(target.ID)
 	began, seen := time.Now(), false
 	err := streamer.StreamEvents(ctx, target, req, resp, s.after, func(header *fasthttp.ResponseHeader) {
 		if !s.begun {
@@ -115,12 +116,12 @@
 		return s.sinkErr
 	})
 	if err == nil {
-		s.trail.add(target.ID, "whole")
+		s.trail.end(target.ID, "whole")
 		s.fleet.Succeeded(target.ID)
 		return nil
 	}
 	e := failure.As(err)
-	s.trail.add(target.ID, string(e.Kind))
+	s.trail.end(target.ID, string(e.Kind))
 	s.log.Info("attempt ended", append([]any{
 		"id", s.call.ID, "replica", target.ID, "kind", e.Kind, "outcome", e.Outcome, "after", s.after, "took", time.Since(began), "error", e.Error(),
 	}, target.Basis.Fields()...)...)
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -9,27 +9,54 @@
 // trailLength bounds the attempts that a call's last line names.
 const trailLength = 12
 
+// step is one attempt of a call.
+type step struct {
+	replica string
+	asked   time.Duration
+	// end is how the attempt ended; empty while it runs.
+	end   string
+	ended time.Duration
+}
+
 // trail is what the attempts of one call brought, for its last log line.
 type trail struct {
 	began time.Time
-	parts []string
+	steps []step
 	more  int
 }
 
-// add records the end of an attempt.
-func (t *trail) add(replica, end string) {
-	if len(t.parts) >= trailLength {
+// ask records the start of an attempt.
+func (t *trail) ask(replica string) {
+	if len(t.steps) >= trailLength {
 		t.more++
 		return
 	}
-	t.parts = append(t.parts, replica+":"+end+"@"+time.Since(t.began).Round(time.Millisecond).String())
+	t.steps = append(t.steps, step{replica: replica, asked: time.Since(t.began)})
+}
+
+// end records the end of the latest attempt at a replica.
+func (t *trail) end(replica, end string) {
+	for i := len(t.steps) - 1; i >= 0; i-- {
+		if s := &t.steps[i]; s.replica == replica && s.end == "" {
+			s.end, s.ended = end, time.Since(t.began)
+			return
+		}
+	}
 }
 
-// String returns the attempts in order, such as "e1:queue_full@3ms e2:whole@81ms".
+// String returns the attempts in the order of their starts, such as
+// "e1@0s:queue_full@3ms e2@3ms:200@81ms"; one that has not ended is "silent".
 func (t *trail) String() string {
-	text := strings.Join(t.parts, " ")
+	parts := make([]string, 0, len(t.steps)+1)
+	for _, s := range t.steps {
+		end := "silent"
+		if s.end != "" {
+			end = s.end + "@" + s.ended.Round(time.Millisecond).String()
+		}
+		parts = append(parts, s.replica+"@"+s.asked.Round(time.Millisecond).String()+":"+end)
+	}
 	if t.more > 0 {
-		text += " and " + strconv.Itoa(t.more) + " more"
+		parts = append(parts, "and "+strconv.Itoa(t.more)+" more")
 	}
-	return text
+	return strings.Join(parts, " ")
 }
