--- a/internal/config/commit.go
+++ b/internal/config/commit.go
@@ -10,6 +10,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 const (
@@ -113,7 +114,7 @@
 		case isFinalConflict(err):
 			return Head{}, err
 		}
-		if sleep(ctx, commitPause) != nil {
+		if !pause.For(ctx, commitPause) {
 			return Head{}, a.unsettled(err)
 		}
 	}
@@ -195,18 +196,6 @@
 // isFinalConflict tells another operator's accepted change from a table check that did not hold.
 func isFinalConflict(err error) bool { return AsConflict(err) != nil }
 
-// sleep waits for d, or returns the error of a context that ended before.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // AsConflict returns the ConflictError that err carries, or nil.
 func AsConflict(err error) *ConflictError {
 	var conflict *ConflictError
--- a/internal/config/poller.go
+++ b/internal/config/poller.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 // pollJitter spreads the polls of many hosts, as a share of the interval.
@@ -28,8 +29,8 @@
 		if err := p.once(ctx); err != nil {
 			p.log.V(1).Info("configuration poll failed", "error", err.Error())
 		}
-		if err := sleep(ctx, jitter(p.interval)); err != nil {
-			return err
+		if !pause.For(ctx, jitter(p.interval)) {
+			return ctx.Err()
 		}
 	}
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
@@ -81,27 +82,15 @@
 			f.log.Info("table regained", "version", f.after)
 		}
 		lost = err != nil
-		pause := f.config.Interval
+		interval := f.config.Interval
 		if err != nil {
-			pause = retryPause
+			interval = retryPause
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, interval)
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // step lists the table if need be and asks once for changes.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 	"github.com/sapphirehatch/sapphirehatch/internal/routes"
 	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
@@ -262,14 +263,7 @@
 	if left <= 0 {
 		return false
 	}
-	timer := time.NewTimer(min(left, placePause))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
+	return pause.For(ctx, min(left, placePause))
 }
 
 // result is the end of a call that brought no success.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 )
 
@@ -151,12 +152,7 @@
 	case !s.call.Route.Resumable || s.sent >= max(1, s.call.Route.MaxAttempts):
 		return failure.Wrap(err, failure.UpstreamFailed, s.outcome(), "the stream broke off")
 	}
-	timer := time.NewTimer(placePause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, placePause)
 	return nil
 }
 
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
@@ -94,9 +95,7 @@
 		case !doubt:
 			return receipt, failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "job %s was not kept", id)
 		}
-		select {
-		case <-time.After(settlePause):
-		case <-ctx.Done():
+		if !pause.For(ctx, settlePause) {
 			return platform.Receipt{}, failure.Wrap(err, failure.StoreInDoubt, failure.Unknown, "job %s may have been kept", id)
 		}
 	}
@@ -128,9 +127,7 @@
 		if !failure.IsKind(err, failure.StoreInDoubt) {
 			return err
 		}
-		select {
-		case <-time.After(settlePause):
-		case <-ctx.Done():
+		if !pause.For(ctx, settlePause) {
 			return err
 		}
 	}
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 const (
@@ -27,9 +29,7 @@
 				break
 			}
 			r.log.Info("job can't be read yet", "error", err.Error())
-			select {
-			case <-time.After(commitPause):
-			case <-r.ctx.Done():
+			if !pause.For(r.ctx, commitPause) {
 				return false
 			}
 		}
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
@@ -196,9 +197,7 @@
 			return
 		}
 		if failed {
-			select {
-			case <-time.After(commitPause):
-			case <-r.m.ctx.Done():
+			if !pause.For(r.m.ctx, commitPause) {
 				return
 			}
 			continue
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 const (
@@ -50,9 +52,6 @@
 			r.finish(it, Result{State: Dead})
 			return
 		}
-		select {
-		case <-time.After(scorePause):
-		case <-r.ctx.Done():
-		}
+		pause.For(r.ctx, scorePause)
 	}
 }
--- a/internal/load/arm.go
+++ b/internal/load/arm.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/standin/control"
 	"github.com/sapphirehatch/sapphirehatch/internal/standin/trainer"
 	"github.com/sapphirehatch/sapphirehatch/internal/standinapi"
@@ -75,7 +76,7 @@
 	trainerCtx, stopTrainers := context.WithCancel(ctx)
 	defer stopTrainers()
 	a.runTrainers(trainerCtx, &trainers)
-	sleep(ctx, time.Until(a.start.Add(settings.Duration)))
+	pause.For(ctx, time.Until(a.start.Add(settings.Duration)))
 	a.measured = time.Since(a.start)
 	report := a.newReport(processReports(a.experiment.Processes, before), a.counters(), countersBefore)
 	stopFaults()
@@ -107,7 +108,7 @@
 
 // reportProgress logs how far the arm is until ctx ends.
 func (a *arm) reportProgress(ctx context.Context) {
-	for sleep(ctx, progressPeriod) {
+	for pause.For(ctx, progressPeriod) {
 		for _, s := range a.sources {
 			s.tally.mu.Lock()
 			a.log.Info("progress", "caller", s.caller.Name, "ended", s.tally.sent, "answered", s.tally.endings[answered], "elapsed", time.Since(a.start).Round(time.Second).String())
--- a/internal/load/arrivals.go
+++ b/internal/load/arrivals.go
@@ -15,6 +15,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/entryclient"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 const entryTimeout = time.Second
@@ -90,7 +91,7 @@
 	at := s.caller.Start
 	for number := 0; ; number++ {
 		at += time.Duration(s.random.ExpFloat64() / s.caller.Rate * float64(time.Second))
-		if at >= stop || !sleep(ctx, time.Until(start.Add(at))) {
+		if at >= stop || !pause.For(ctx, time.Until(start.Add(at))) {
 			return
 		}
 		r := &request{caller: s.caller, scheduled: start.Add(at), refusals: map[failure.Kind]int{}}
--- a/internal/load/barrier.go
+++ b/internal/load/barrier.go
@@ -15,6 +15,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/entryapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/standin/scorer"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 )
@@ -121,7 +122,7 @@
 		var resp engineapi.ChatResponse
 		_, err := b.http.Do(fasthttp.MethodPost, "http://"+b.engines[try%len(b.engines)]+engineapi.PathChat, chat, &resp)
 		if err != nil || len(resp.Choices) != 1 {
-			sleep(b.ctx, barrierRetryPause)
+			pause.For(b.ctx, barrierRetryPause)
 			continue
 		}
 		text := resp.Choices[0].Message.Content
@@ -150,7 +151,7 @@
 		case !known:
 			jsonhttp.Refuse(ctx, failure.New(failure.NotFound, failure.NotRun, "step %s was not asked for", path))
 			return
-		case time.Since(begin) > barrierWaitLimit || !sleep(b.ctx, barrierPoll):
+		case time.Since(begin) > barrierWaitLimit || !pause.For(b.ctx, barrierPoll):
 			jsonhttp.Answer(ctx, fasthttp.StatusAccepted, trainerapi.StepProgress{})
 			return
 		}
--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/standin/control"
 	"github.com/sapphirehatch/sapphirehatch/internal/standinapi"
 )
@@ -22,12 +23,12 @@
 }
 
 func (a *arm) runFault(ctx context.Context, start time.Time, fault Fault) {
-	if !sleep(ctx, time.Until(start.Add(fault.At))) {
+	if !pause.For(ctx, time.Until(start.Add(fault.At))) {
 		return
 	}
 	a.noteFault(fault, "on", a.switchFault(fault, true))
 	if fault.For > 0 {
-		sleep(ctx, fault.For)
+		pause.For(ctx, fault.For)
 	} else {
 		<-ctx.Done()
 	}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/entryapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 const (
@@ -57,7 +58,7 @@
 // run makes attempts until the request is answered or its caller gives it up.
 func (r *request) run(ctx context.Context, hosts func() []entryapi.EntryHost) {
 	until := r.scheduled.Add(r.caller.Timeout)
-	pause := firstRetryPause
+	backoff := firstRetryPause
 	for try := 0; ; try++ {
 		known := hosts()
 		host := known[try%len(known)]
@@ -68,26 +69,15 @@
 		if r.take(result) || try+1 >= r.caller.MaxAttempts {
 			break
 		}
-		wait := max(pause, result.wait)
-		if time.Until(until) <= wait || !sleep(ctx, wait) {
+		wait := max(backoff, result.wait)
+		if time.Until(until) <= wait || !pause.For(ctx, wait) {
 			break
 		}
-		pause = min(2*pause, maxRetryPause)
+		backoff = min(2*backoff, maxRetryPause)
 	}
 	r.done = time.Now()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r *request) key() string {
 	if len(r.keys) == 0 {
 		return ""
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 // Run runs all arms of an experiment, one after the other. Broken promises are
@@ -11,7 +13,7 @@
 func Run(ctx context.Context, e *Experiment, log logr.Logger) (*Report, error) {
 	report := &Report{Name: e.Settings.Name, Seed: e.Settings.Seed}
 	for i, a := range e.Arms {
-		if i > 0 && !sleep(ctx, e.Settings.Pause) {
+		if i > 0 && !pause.For(ctx, e.Settings.Pause) {
 			break
 		}
 		result, err := newArm(a, log).run(ctx)
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -109,9 +108,3 @@
 	status, err := p.engines.Status(ctx, u)
 	return err == nil && status.Incarnation != "" && status.Incarnation != u.Incarnation
 }
-
-// dialTCP is the DialFunc of production.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
--- a/internal/quarantine/provide.go
+++ b/internal/quarantine/provide.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewProber(dialTCP, engines, view), nil
+		return NewProber(upstream.DialTCP, engines, view), nil
 	})
 }
 
--- a/internal/rollout/deliver.go
+++ b/internal/rollout/deliver.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 )
 
@@ -29,7 +30,7 @@
 			return err
 		}
 		over := time.Since(begun)+waitPoll > wait || a.stopping()
-		if over || !pause(c.ctx, waitPoll) {
+		if over || !pause.For(c.ctx, waitPoll) {
 			return a.progress(c, fasthttp.StatusAccepted)
 		}
 	}
--- a/internal/rollout/fakes_test.go
+++ b/internal/rollout/fakes_test.go
@@ -18,6 +18,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/lease"
 	"github.com/sapphirehatch/sapphirehatch/internal/membership"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/peer"
 	"github.com/sapphirehatch/sapphirehatch/internal/peer/peertest"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
@@ -230,7 +231,7 @@
 		if place, ok := f.tryReserve(req); ok {
 			return place, nil
 		}
-		if !pause(ctx, 5*time.Millisecond) {
+		if !pause.For(ctx, 5*time.Millisecond) {
 			return nil, failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.NotRun, "no place")
 		}
 	}
@@ -265,7 +266,7 @@
 		f.mu.Lock()
 		wait, version, breakAt := f.tokenTime(target.ID), f.versions[target.ID], f.breakAt[target.ID]
 		f.mu.Unlock()
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return g, failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "cancelled")
 		}
 		if breakAt > 0 && token == breakAt {
--- a/internal/rollout/measure_test.go
+++ b/internal/rollout/measure_test.go
@@ -14,6 +14,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/membership"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/upstream"
 )
@@ -91,7 +92,7 @@
 	var g upstream.Generation
 	credit := 0.0
 	for produced := req.PriorTokens; produced < total; {
-		if !pause(ctx, simTick) {
+		if !pause.For(ctx, simTick) {
 			return g, failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "cancelled")
 		}
 		perSecond, version := s.rate(i)
--- a/internal/rollout/score.go
+++ b/internal/rollout/score.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/routing"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/upstream"
@@ -41,7 +42,7 @@
 func (s *scorer) score(ctx context.Context, service string, req trainerapi.ScoreRequest) ([]float64, error) {
 	for failures := 1; ; failures++ {
 		rewards, err := s.scoreOnce(ctx, service, req)
-		if err == nil || !pause(ctx, backoff(failures)) {
+		if err == nil || !pause.For(ctx, backoff(failures)) {
 			return rewards, err
 		}
 	}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 )
@@ -143,7 +144,7 @@
 		case failure.IsKind(err, failure.Conflict) && attempt == 0:
 			return step{}, err
 		}
-		if !pause(ctx, st.settleDelay<<attempt) {
+		if !pause.For(ctx, st.settleDelay<<attempt) {
 			break
 		}
 	}
@@ -238,15 +239,3 @@
 	}
 	return nil
 }
-
-// pause waits, and reports false if ctx ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -81,12 +81,8 @@
 // Service is what operators say about a service.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections of all callers to one replica; zero is no bound.
-	MaxConnections int
 	// Slots is the number of requests that an engine runs at once; zero for plain services.
 	Slots int
-	// TokenCapacity is an engine's memory in tokens; zero for plain services.
-	TokenCapacity int
 	// Models are the models that engines of the service hold.
 	Models []string
 }
--- a/internal/standin/engine/swap.go
+++ b/internal/standin/engine/swap.go
@@ -14,6 +14,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/standinapi"
 )
@@ -123,7 +124,7 @@
 	s.sched.mu.Lock()
 	s.sched.paused = true
 	s.sched.mu.Unlock()
-	wait(ctx, s.cfg.SwapPause)
+	pause.For(ctx, s.cfg.SwapPause)
 	s.Faults().WaitThawed(ctx)
 	s.sched.mu.Lock()
 	defer s.sched.mu.Unlock()
@@ -136,15 +137,6 @@
 	s.Log().Add(standinapi.LogEntry{Event: EventLoaded, Version: version})
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // fetch reads a version's weights from the weight store at the store's rate.
 // Without a platform it takes the configured load time.
 func (s *Standin) fetch(ctx context.Context, version uint64) error {
@@ -153,7 +145,7 @@
 		return ok
 	}
 	if s.cfg.Registration.Platform == "" {
-		wait(ctx, s.cfg.LoadTime)
+		pause.For(ctx, s.cfg.LoadTime)
 		if fails() {
 			return failure.New(failure.UpstreamFailed, "", "load of version %d failed partway", version)
 		}
--- a/internal/standin/trainer/calls.go
+++ b/internal/standin/trainer/calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 )
 
@@ -28,7 +29,7 @@
 	s.mu.Lock()
 	s.results.Refusals++
 	s.mu.Unlock()
-	pause(ctx, retryPause)
+	pause.For(ctx, retryPause)
 }
 
 // postUntil asks for all steps up to n that were not asked for yet.
--- a/internal/standin/trainer/standin.go
+++ b/internal/standin/trainer/standin.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/entryclient"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/standin/control"
 	"github.com/sapphirehatch/sapphirehatch/internal/standinapi"
 )
@@ -195,7 +196,7 @@
 	if s.cfg.Ahead > 0 && !s.postUntil(ctx, min(last, n+1+uint64(s.cfg.Ahead))) {
 		return false
 	}
-	pause(ctx, s.cfg.TrainTime)
+	pause.For(ctx, s.cfg.TrainTime)
 	if s.cfg.PublishAfterStep {
 		s.publish()
 	}
@@ -208,12 +209,3 @@
 	}
 	return s.cfg.FirstStep + uint64(s.cfg.Steps) - 1
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,8 +34,8 @@
 	return &pool{dial: dial, timing: timing, idle: make(map[string][]*conn), pace: make(map[string]*pace)}
 }
 
-// dialTCP is the DialFunc of production.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP is the DialFunc of production.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
 }
--- a/internal/upstream/provide.go
+++ b/internal/upstream/provide.go
@@ -18,7 +18,7 @@
 func provideClient(i do.Injector) (*Client, error) {
 	s := do.MustInvoke[*settings.Settings](i)
 	view := do.MustInvoke[membership.View](i)
-	client := NewClient(dialTCP, s.Timing, view)
+	client := NewClient(DialTCP, s.Timing, view)
 	do.MustInvoke[*duty.Group](i).Add("upstream-connections", duty.Exchange, client.pool.run)
 	return client, nil
 }
