Let the times between store calls grow with the hosts

Cause: each host writes a heartbeat and looks at the tables of hosts, replicas and jobs at fixed intervals, so the calls of all grow with their number: 28 calls a second and host at 89 hosts, above the store's 6,000 at 300.

A row says how long its host leaves until the next.

Ruled out: rows read by some hosts only, which needs a second way to spread news.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -31,6 +31,8 @@
 	// Interval is the least time between two questions; zero asks again at once.
 	// It bounds the calls where a table changes often.
 	Interval time.Duration
+	// Stretch multiplies Interval before each question; nil does not.
+	Stretch func() float64
 }
 
 // Sink receives rows. Calls come from one goroutine.
@@ -83,6 +85,9 @@
 		}
 		lost = err != nil
 		interval := f.config.Interval
+		if f.config.Stretch != nil {
+			interval = time.Duration(float64(interval) * f.config.Stretch())
+		}
 		if err != nil {
 			interval = retryPause
 		}
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -146,6 +146,14 @@
 	late      int
 	lateAfter time.Duration
 	pending   sync.WaitGroup
+	looks     int
+}
+
+// Looks returns the number of questions for changes.
+func (c *RowsClient) Looks() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.looks
 }
 
 // SetDown makes all calls fail without an effect, or work again.
@@ -226,6 +234,9 @@
 
 // Changes implements platform.Rows.
 func (c *RowsClient) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (platform.RowPage, error) {
+	c.mu.Lock()
+	c.looks++
+	c.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
@@ -51,13 +52,14 @@
 
 // Run beats until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) error {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
-	for {
+	for next := time.Now(); ; {
 		h.beat(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+		next = next.Add(h.Self().within(beatInterval))
+		// A host that stood still goes on from now.
+		if late := time.Now(); next.Before(late) {
+			next = late
+		}
+		if !pause.For(ctx, time.Until(next)) {
 			return nil
 		}
 	}
@@ -91,8 +93,14 @@
 	defer h.writing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
+	stretch := h.roster.Stretch()
 	h.mu.Lock()
 	h.self.Beat++
+	// Others must know of a longer time before it begins.
+	h.self.Stretch = 0
+	if stretch > 1 {
+		h.self.Stretch = stretch
+	}
 	self, removed := h.self, h.removed
 	h.mu.Unlock()
 	if removed {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -32,6 +32,10 @@
 	// longestGap is the longest time between two looks at the rows within which
 	// a row that stood still says something about its host.
 	longestGap = 800 * time.Millisecond
+	// unstretchedHosts is the number of hosts up to which these times and those
+	// between heartbeats and looks hold. With more of them all grow in proportion,
+	// so that the calls of all hosts together do not.
+	unstretchedHosts = 100
 	// forgetAfter is how long the row of a dead host is kept.
 	forgetAfter = time.Minute
 )
@@ -59,6 +63,13 @@
 	Cores float64 `json:"cores,omitempty"`
 	// Beat grows with each heartbeat.
 	Beat uint64 `json:"beat"`
+	// Stretch is how many times the usual time the host leaves between two heartbeats; zero means once.
+	Stretch float64 `json:"stretch,omitempty"`
+}
+
+// within returns a time for a host with the usual heartbeat as it is for this one.
+func (h Host) within(usual time.Duration) time.Duration {
+	return time.Duration(float64(usual) * max(1, h.Stretch))
 }
 
 type entry struct {
@@ -113,7 +124,7 @@
 func (r *Roster) Caught(now time.Duration, asked time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now-r.clock > longestGap {
+	if now-r.clock > time.Duration(float64(longestGap)*max(1, float64(len(r.entries))/unstretchedHosts)) {
 		for _, e := range r.entries {
 			e.seen = now
 		}
@@ -124,7 +135,7 @@
 	r.fresh = r.fresh[:0]
 	r.clock, r.asked = now, asked
 	for id, e := range r.entries {
-		dead := now-e.seen > DeadAfter+r.delay
+		dead := now-e.seen > e.host.within(DeadAfter)+r.delay
 		if dead != r.dead[id] {
 			r.log.Info("host's heartbeat", "id", id, "dead", dead, "still_for", now-e.seen)
 		}
@@ -140,6 +151,17 @@
 	r.delay = min(longestDelay, 2*write)
 }
 
+// Stretch is how many times as long as usual hosts wait between heartbeats and
+// between looks at shared tables: 1 up to unstretchedHosts, then in proportion.
+func (r *Roster) Stretch() float64 { return r.StretchFrom(unstretchedHosts) }
+
+// StretchFrom is Stretch for times that hold up to another number of hosts.
+func (r *Roster) StretchFrom(hosts int) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(1, float64(len(r.entries))/float64(hosts))
+}
+
 // Clock returns the store's clock at the last answer, and when that was asked for.
 func (r *Roster) Clock() (time.Duration, time.Time) {
 	r.mu.Lock()
@@ -235,7 +257,7 @@
 	r.mu.Lock()
 	var hosts []Host
 	for _, e := range r.entries {
-		if !r.dead[e.host.ID] && e.host.State == Serving && r.clock-e.seen <= lateAfter+r.delay {
+		if !r.dead[e.host.ID] && e.host.State == Serving && r.clock-e.seen <= e.host.within(lateAfter)+r.delay {
 			hosts = append(hosts, e.host)
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -30,7 +30,7 @@
 	n := &node{id: id, rows: client, roster: r, beat: NewHeartbeat(Host{ID: id, Incarnation: incarnation, Address: id}, client, r, logr.Discard())}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	follower := follow.New(follow.Config{Table: Table, Parted: true, Interval: 300 * time.Millisecond}, client, r, logr.Discard())
+	follower := follow.New(follow.Config{Table: Table, Parted: true, Interval: 300 * time.Millisecond, Stretch: r.Stretch}, client, r, logr.Discard())
 	n.done.Go(func() { _ = n.beat.Run(ctx) })
 	n.done.Go(func() { _ = follower.Run(ctx) })
 	return n
@@ -190,3 +190,41 @@
 		}
 	})
 }
+
+// Load pattern: every host writes a row and looks at those of all, so that calls
+// grow with the hosts and rows read with their square.
+func TestMoreHostsDoNotCallMore(t *testing.T) {
+	calls := func(hosts int) (writes, looks float64) {
+		synctest.Test(t, func(t *testing.T) {
+			rows := platformtest.NewRows()
+			nodes := startAll(rows, hosts)
+			defer stopAll(nodes)
+			time.Sleep(3 * time.Second)
+			const during = 6 * time.Second
+			before, seen := rows.Commits(), 0
+			for _, n := range nodes {
+				seen -= n.rows.Looks()
+			}
+			time.Sleep(during)
+			for _, n := range nodes {
+				seen += n.rows.Looks()
+			}
+			writes, looks = float64(rows.Commits()-before)/during.Seconds(), float64(seen)/during.Seconds()
+			nodes[0].cancel()
+			time.Sleep(nodes[1].beat.Self().within(DeadAfter + time.Second))
+			if nodes[1].roster.Alive("host-0", "one") {
+				t.Errorf("one of %d hosts without a heartbeat counts as alive", hosts)
+			}
+			if got := len(nodes[1].roster.Hosts()); got != hosts-1 {
+				t.Errorf("%d of %d hosts are seen alive", got, hosts-1)
+			}
+		})
+		return writes, looks
+	}
+	writes, looks := calls(100)
+	manyWrites, manyLooks := calls(250)
+	t.Logf("100 hosts write %.0f and look %.0f times a second, 250 hosts %.0f and %.0f", writes, looks, manyWrites, manyLooks)
+	if manyWrites > 1.1*writes || manyLooks > 1.1*looks {
+		t.Errorf("100 hosts write %.0f and look %.0f times a second, 250 hosts %.0f and %.0f", writes, looks, manyWrites, manyLooks)
+	}
+}
