Keep what a list of parts has read, and don't list heartbeats

Cause: after the store forgot its history, every host listed the tables of hosts and jobs part by part.

Ruled out: long polls that return at once (300 calls a second of all hosts), the commits of jobs (some hundred).

Change: a list keeps the parts it has read; heartbeats are not listed, since each host shows itself within a beat, and a host whose row was never seen counts as alive until it would have; jobs that are listed whole are not read again. Pauses after failures double and are spread.

--- a/internal/chatjobs/provide.go
+++ b/internal/chatjobs/provide.go
@@ -72,8 +72,8 @@
 	m := &members{docs: docs, view: do.MustInvoke[membership.View](i), versions: do.MustInvoke[*weights.Watcher](i), fleet: engines}
 	duties.Add("job-engines", duty.Exchange, m.Run)
 	duties.Add("job-heartbeat", duty.Exchange, h.beat.Run)
-	duties.Add("job-hosts", duty.Exchange, follow.New(follow.Config{Table: roster.Table, Parted: true, Interval: hostPoll, Stretch: hosts.Stretch}, rows, hosts, log).Run)
-	duties.Add("job-feed", duty.Exchange, follow.New(follow.Config{Table: job.TableJobs, Parted: true, Wait: jobWait, Interval: jobPoll, Stretch: hosts.Stretch}, rows, h.manager, log).Run)
+	duties.Add("job-hosts", duty.Exchange, follow.New(follow.Config{Table: roster.Table, Parted: true, Renewed: true, Interval: hostPoll, Stretch: hosts.Stretch}, rows, hosts, log).Run)
+	duties.Add("job-feed", duty.Exchange, follow.New(follow.Config{Table: job.TableJobs, Parted: true, Settled: h.manager.Settled, Wait: jobWait, Interval: jobPoll, Stretch: hosts.Stretch}, rows, h.manager, log).Run)
 	duties.Add("jobs", duty.Control, h.run)
 	return h
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -1,7 +1,9 @@
 package follow
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,9 +15,11 @@
 )
 
 const (
-	// retryPause is the wait after a failed call. It leaves the store room and
-	// finds its return within the second that hosts have to come back.
-	retryPause = 150 * time.Millisecond
+	// retryPause is the wait after a failed call; it doubles with each further one
+	// up to longestRetry. That leaves the store room and finds its return within
+	// the second that hosts have to come back.
+	retryPause   = 150 * time.Millisecond
+	longestRetry = 600 * time.Millisecond
 	// partReaders bounds the parts that are read at once while a table is listed.
 	partReaders = 4
 )
@@ -25,6 +29,12 @@
 	Table string
 	// Parted lists the rows of all parts; otherwise only those of the empty part.
 	Parted bool
+	// Renewed says that every row that counts is written again and again, so that
+	// the table need not be listed: what is there shows itself.
+	Renewed bool
+	// Settled reports whether a part that is known will not change any more but for
+	// its removal, so that it need not be read again where changes were lost; may be nil.
+	Settled func(part string) bool
 	// Wait is how long one question for changes may be kept waiting. It is short
 	// because a connection that went silent looks like a table without changes.
 	Wait time.Duration
@@ -54,6 +64,8 @@
 	known  map[platform.RowID]uint64
 	after  uint64
 	listed bool
+	// listing is a list of all parts that is not finished; nil if there is none.
+	listing *listing
 
 	mu      sync.Mutex
 	contact time.Time
@@ -74,28 +86,38 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	lost := false
+	failures := 0
 	for ctx.Err() == nil {
 		err := f.step(ctx)
-		if err != nil && ctx.Err() == nil && !lost {
+		if err != nil && ctx.Err() == nil && failures == 0 {
 			f.log.Info("table lost", "error", err.Error())
 		}
-		if err == nil && lost {
-			f.log.Info("table regained", "version", f.after)
+		if err == nil && failures > 0 {
+			f.log.Info("table regained", "version", f.after, "failures", failures)
+		}
+		failures++
+		if err == nil {
+			failures = 0
 		}
-		lost = err != nil
 		interval := f.config.Interval
 		if f.config.Stretch != nil {
 			interval = time.Duration(float64(interval) * f.config.Stretch())
 		}
 		if err != nil {
-			interval = retryPause
+			interval = retryAfter(failures)
 		}
 		pause.For(ctx, interval)
 	}
 	return nil
 }
 
+// retryAfter is the wait after a number of failures in a row. It is spread, so
+// that hosts that were refused together don't come again together.
+func retryAfter(failures int) time.Duration {
+	pause := min(longestRetry, retryPause<<min(failures-1, 8))
+	return time.Duration(float64(pause) * (0.75 + rand.Float64()/2))
+}
+
 // step lists the table if need be and asks once for changes.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
@@ -105,7 +127,7 @@
 	page, err := f.rows.Changes(ctx, f.config.Table, f.after, f.config.Wait)
 	if failure.IsKind(err, failure.HistoryLost) {
 		f.log.Info("changes were forgotten, the table is listed again", "after", f.after)
-		f.listed = false
+		f.listed, f.listing = false, nil
 		return f.list(ctx)
 	}
 	if err != nil {
@@ -149,73 +171,136 @@
 
 // list reads the whole table and reports what changed, also what is gone.
 func (f *Follower) list(ctx context.Context) error {
-	asked := time.Now()
-	var found []platform.VersionedRow
-	var version uint64
-	var now time.Duration
-	var err error
-	if f.config.Parted {
-		found, version, now, err = f.listParts(ctx)
-	} else {
-		found, version, now, err = readPart(ctx, f.rows, f.config.Table, "")
+	if f.config.Renewed {
+		return f.begin(ctx)
 	}
-	if err != nil {
-		return err
+	if f.listing == nil {
+		f.listing = &listing{asked: time.Now(), present: map[platform.RowID]bool{}}
+		if err := f.parts(ctx); err != nil {
+			f.listing = nil
+			return err
+		}
 	}
-	present := make(map[platform.RowID]bool, len(found))
-	for _, row := range found {
-		present[row.RowID] = true
-		f.take(row)
+	l := f.listing
+	if err := f.readParts(ctx); err != nil {
+		return err
 	}
 	for id, known := range f.known {
-		if !present[id] && known <= version {
-			f.take(platform.VersionedRow{RowID: id, Version: version, Deleted: true})
+		if !l.present[id] && known <= l.version && !l.skipped[id.Part] {
+			f.take(platform.VersionedRow{RowID: id, Version: l.version, Deleted: true})
 		}
 	}
-	f.after, f.listed = version, true
-	f.caught(now, asked)
+	f.after, f.listed, f.listing = l.version, true, nil
+	// Changes since then are asked for next.
+	f.caught(l.now, l.asked)
+	return nil
+}
+
+// begin starts to follow a table whose rows are renewed from its present version on.
+func (f *Follower) begin(ctx context.Context) error {
+	asked := time.Now()
+	page, err := f.rows.Parts(ctx, f.config.Table, lastPart)
+	if err != nil {
+		return err
+	}
+	f.after, f.listed = page.Version, true
+	f.caught(page.Now, asked)
 	return nil
 }
 
-// listParts reads all parts. The version is that of the first answer: what
-// changed while the others were read is asked for again.
-func (f *Follower) listParts(ctx context.Context) ([]platform.VersionedRow, uint64, time.Duration, error) {
+// lastPart comes behind all parts, so that only the version and the clock are answered.
+const lastPart = "~"
+
+// listing is a list of all parts on its way. A part that was read stays read when
+// another can't be: changes since version are asked for behind the list anyway.
+// Else a table of many parts is never whole where the store refuses some calls,
+// and starting anew makes it refuse more.
+type listing struct {
+	asked   time.Time
+	version uint64
+	now     time.Duration
+	// left are the parts that are still to be read, skipped those that need not be.
+	left    []string
+	skipped map[string]bool
+	present map[platform.RowID]bool
+}
+
+// parts finds the parts to read. The version is that of the first answer.
+func (f *Follower) parts(ctx context.Context) error {
+	l := f.listing
+	if !f.config.Parted {
+		l.left = []string{""}
+		return nil
+	}
+	l.skipped = map[string]bool{}
+	known := map[string]bool{}
+	for id := range f.known {
+		known[id.Part] = true
+	}
 	page, err := f.rows.Parts(ctx, f.config.Table, "")
 	if err != nil {
-		return nil, 0, 0, err
+		return err
 	}
-	version, now, parts := page.Version, page.Now, page.Parts
-	for page.More && len(page.Parts) > 0 {
-		if page, err = f.rows.Parts(ctx, f.config.Table, parts[len(parts)-1]); err != nil {
-			return nil, 0, 0, err
+	l.version, l.now = page.Version, page.Now
+	for {
+		for _, part := range page.Parts {
+			if known[part] && f.config.Settled != nil && f.config.Settled(part) {
+				l.skipped[part] = true
+				continue
+			}
+			l.left = append(l.left, part)
+		}
+		if !page.More || len(page.Parts) == 0 {
+			return nil
+		}
+		if page, err = f.rows.Parts(ctx, f.config.Table, page.Parts[len(page.Parts)-1]); err != nil {
+			return err
+		}
+	}
+}
+
+// readParts reads the parts that are left, some at once.
+func (f *Follower) readParts(ctx context.Context) error {
+	l := f.listing
+	for len(l.left) > 0 {
+		batch := l.left[:min(partReaders, len(l.left))]
+		type answer struct {
+			rows    []platform.VersionedRow
+			version uint64
+			now     time.Duration
+			err     error
 		}
-		parts = append(parts, page.Parts...)
-	}
-	rows, err := f.readParts(ctx, parts)
-	return rows, version, now, err
-}
-
-func (f *Follower) readParts(ctx context.Context, parts []string) ([]platform.VersionedRow, error) {
-	var mu sync.Mutex
-	var all []platform.VersionedRow
-	var first error
-	var wait sync.WaitGroup
-	turns := make(chan struct{}, partReaders)
-	for _, part := range parts {
-		turns <- struct{}{}
-		wait.Go(func() {
-			defer func() { <-turns }()
-			rows, _, _, err := readPart(ctx, f.rows, f.config.Table, part)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, rows...)
-			if err != nil && first == nil {
-				first = err
+		answers := make([]answer, len(batch))
+		var wait sync.WaitGroup
+		for i, part := range batch {
+			wait.Go(func() {
+				a := &answers[i]
+				a.rows, a.version, a.now, a.err = readPart(ctx, f.rows, f.config.Table, part)
+			})
+		}
+		wait.Wait()
+		var left []string
+		var first error
+		for i, a := range answers {
+			if a.err != nil {
+				left = append(left, batch[i])
+				first = cmp.Or(first, a.err)
+				continue
+			}
+			if !f.config.Parted {
+				l.version, l.now = a.version, a.now
 			}
-		})
+			for _, row := range a.rows {
+				l.present[row.RowID] = true
+				f.take(row)
+			}
+		}
+		l.left = append(left, l.left[len(batch):]...)
+		if first != nil {
+			return first
+		}
 	}
-	wait.Wait()
-	return all, first
+	return nil
 }
 
 // readPart reads all rows of one part, with the version and clock of the first answer.
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -108,3 +108,85 @@
 		}
 	})
 }
+
+// Load pattern: the store forgets its history while ninety hosts follow tables of
+// a hundred parts. All list them at once, which is more than the store takes in a
+// second, and every call beyond that is refused.
+func TestListsOfManyHostsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, parts, readsPerSecond = 90, 100, 3000
+		rows := platformtest.NewRows()
+		for i := range parts {
+			rows.Put(id(fmt.Sprintf("part-%03d", i), "a"), []byte("old"))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var done sync.WaitGroup
+		mirrors := make([]*mirror, hosts)
+		for i := range mirrors {
+			m := &mirror{t: t, rows: map[platform.RowID]string{}, versions: map[platform.RowID]uint64{}}
+			mirrors[i] = m
+			follower := New(Config{Table: "t", Parted: true, Interval: 100 * time.Millisecond}, rows.Client(), m, logr.Discard())
+			done.Go(func() { _ = follower.Run(ctx) })
+		}
+		time.Sleep(2 * time.Second)
+		rows.SetReadsPerSecond(readsPerSecond)
+		rows.Put(id("part-007", "a"), []byte("new"))
+		rows.Forget()
+		// Each host needs some hundred calls: three seconds of the store at least.
+		time.Sleep(9 * time.Second)
+		cancel()
+		done.Wait()
+		behind := 0
+		for _, m := range mirrors {
+			if m.rows[id("part-007", "a")] != "new" || len(m.rows) != parts {
+				behind++
+			}
+		}
+		if behind > 0 {
+			t.Errorf("%d of %d hosts don't know the table yet", behind, hosts)
+		}
+	})
+}
+
+func TestSettledPartsAreNotReadAgain(t *testing.T) {
+	settled := func(part string) bool { return part != "open" }
+	follows(t, Config{Table: "t", Parted: true, Settled: settled, Wait: time.Second}, func(rows *platformtest.Rows, client *platformtest.RowsClient, m *mirror) {
+		for i := range 50 {
+			rows.Put(id(fmt.Sprintf("part-%03d", i), "a"), []byte("old"))
+		}
+		rows.Put(id("open", "a"), []byte("old"))
+		time.Sleep(2 * time.Second)
+		client.SetDown(true)
+		time.Sleep(time.Second)
+		rows.Put(id("open", "a"), []byte("new"))
+		rows.Put(id("unknown", "a"), []byte("new"))
+		rows.Delete(id("part-007", "a"))
+		rows.Forget()
+		before := client.Reads()
+		client.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if got := client.Reads() - before; got > 5 {
+			t.Errorf("%d reads", got)
+		}
+		if _, ok := m.rows[id("part-007", "a")]; ok || len(m.rows) != 51 || m.rows[id("open", "a")] != "new" || m.rows[id("unknown", "a")] != "new" {
+			t.Errorf("%d rows, %v", len(m.rows), m.rows)
+		}
+	})
+}
+
+func TestRenewedTableIsNotListed(t *testing.T) {
+	follows(t, Config{Table: "t", Parted: true, Renewed: true, Wait: time.Second}, func(rows *platformtest.Rows, client *platformtest.RowsClient, m *mirror) {
+		for i := range 50 {
+			rows.Put(id(fmt.Sprintf("part-%03d", i), "a"), []byte("old"))
+		}
+		time.Sleep(2 * time.Second)
+		before := client.Reads()
+		rows.Forget()
+		time.Sleep(2 * time.Second)
+		rows.Put(id("part-007", "a"), []byte("new"))
+		time.Sleep(2 * time.Second)
+		if got := client.Reads() - before; got > 1 || m.rows[id("part-007", "a")] != "new" || len(m.rows) != 50 {
+			t.Errorf("%d reads, %d rows", got, len(m.rows))
+		}
+	})
+}
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -218,9 +218,9 @@
 		h.beat.Run, h.manager.Run,
 		func(ctx context.Context) error {
 			time.Sleep(blind)
-			return follow.New(follow.Config{Table: roster.Table, Parted: true, Interval: 300 * time.Millisecond}, client, r, log).Run(ctx)
+			return follow.New(follow.Config{Table: roster.Table, Parted: true, Renewed: true, Interval: 300 * time.Millisecond}, client, r, log).Run(ctx)
 		},
-		follow.New(follow.Config{Table: TableJobs, Parted: true, Wait: time.Second, Interval: 25 * time.Millisecond}, client, h.manager, log).Run,
+		follow.New(follow.Config{Table: TableJobs, Parted: true, Settled: h.manager.Settled, Wait: time.Second, Interval: 25 * time.Millisecond}, client, h.manager, log).Run,
 	} {
 		h.done.Go(func() { _ = run(ctx) })
 	}
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -29,6 +29,28 @@
 	// writeTime is how long a transaction takes; those of one part wait for each other.
 	writeTime time.Duration
 	busyUntil map[string]time.Time
+	// readsPerSecond bounds the reading calls of all clients; zero does not.
+	readsPerSecond int
+	second         time.Duration
+	reads          int
+}
+
+// SetReadsPerSecond bounds the reading calls of all clients; those beyond are refused.
+func (r *Rows) SetReadsPerSecond(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readsPerSecond = n
+}
+
+// admitRead counts a reading call; it reports false beyond the bound.
+func (r *Rows) admitRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if second := r.now().Truncate(time.Second); second != r.second {
+		r.second, r.reads = second, 0
+	}
+	r.reads++
+	return r.readsPerSecond == 0 || r.reads <= r.readsPerSecond
 }
 
 // NewRows returns an empty row service.
@@ -147,6 +169,14 @@
 	lateAfter time.Duration
 	pending   sync.WaitGroup
 	looks     int
+	reads     int
+}
+
+// Reads returns the number of calls that read a part or list the parts.
+func (c *RowsClient) Reads() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reads
 }
 
 // Looks returns the number of questions for changes.
@@ -189,9 +219,23 @@
 	return nil
 }
 
+// checkRead is check for a reading call.
+func (c *RowsClient) checkRead(ctx context.Context) error {
+	if err := c.check(ctx); err != nil {
+		return err
+	}
+	if !c.rows.admitRead() {
+		return failure.New(failure.StoreUnavailable, "", "the store answered 429")
+	}
+	return nil
+}
+
 // Read implements platform.Rows.
 func (c *RowsClient) Read(ctx context.Context, q platform.RowRange) (platform.RowPage, error) {
-	if err := c.check(ctx); err != nil {
+	c.mu.Lock()
+	c.reads++
+	c.mu.Unlock()
+	if err := c.checkRead(ctx); err != nil {
 		return platform.RowPage{}, err
 	}
 	r := c.rows
@@ -216,7 +260,10 @@
 
 // Parts implements platform.Rows.
 func (c *RowsClient) Parts(ctx context.Context, table, after string) (platform.PartPage, error) {
-	if err := c.check(ctx); err != nil {
+	c.mu.Lock()
+	c.reads++
+	c.mu.Unlock()
+	if err := c.checkRead(ctx); err != nil {
 		return platform.PartPage{}, err
 	}
 	r := c.rows
@@ -237,6 +284,9 @@
 	c.mu.Lock()
 	c.looks++
 	c.mu.Unlock()
+	if err := c.checkRead(ctx); err != nil {
+		return platform.RowPage{}, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -88,6 +88,8 @@
 	fresh   []*entry
 	clock   time.Duration
 	asked   time.Time
+	// since is the store's clock from which on all heartbeats were seen.
+	since time.Duration
 	// delay is added to the time after which a host is held dead.
 	delay time.Duration
 	dead  map[string]bool
@@ -125,6 +127,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now-r.clock > time.Duration(float64(longestGap)*max(1, float64(len(r.entries))/unstretchedHosts)) {
+		r.since = now
 		for _, e := range r.entries {
 			e.seen = now
 		}
@@ -169,12 +172,17 @@
 	return r.clock, r.asked
 }
 
-// Alive reports whether an incarnation of a host is alive. A host without a row is not.
+// Alive reports whether an incarnation of a host is alive. A host without a row
+// is not, once it would have shown itself by a heartbeat.
 func (r *Roster) Alive(id, incarnation string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[id]
-	return e != nil && e.host.Incarnation == incarnation && !r.dead[id]
+	if e == nil {
+		usual := Host{Stretch: max(1, float64(len(r.entries))/unstretchedHosts)}
+		return r.clock-r.since <= usual.within(DeadAfter)+r.delay
+	}
+	return e.host.Incarnation == incarnation && !r.dead[id]
 }
 
 // Hosts returns the live hosts that take new work, in the order of their ids.
