--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -31,11 +31,15 @@
 	busyUntil map[string]time.Time
 	// readsPerSecond bounds the reading calls of all clients; zero does not.
 	readsPerSecond int
-	second         time.Duration
+	tenth          time.Duration
 	reads          int
 }
 
-// SetReadsPerSecond bounds the reading calls of all clients; those beyond are refused.
+// readTime is how long a reading call takes where they are bounded.
+const readTime = 4 * time.Millisecond
+
+// SetReadsPerSecond bounds the reading calls of all clients, in each tenth of a
+// second; those beyond are refused.
 func (r *Rows) SetReadsPerSecond(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -46,11 +50,24 @@
 func (r *Rows) admitRead() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if second := r.now().Truncate(time.Second); second != r.second {
-		r.second, r.reads = second, 0
+	if r.readsPerSecond == 0 {
+		return true
+	}
+	if tenth := r.now().Truncate(100 * time.Millisecond); tenth != r.tenth {
+		r.tenth, r.reads = tenth, 0
 	}
 	r.reads++
-	return r.readsPerSecond == 0 || r.reads <= r.readsPerSecond
+	return r.reads <= r.readsPerSecond/10
+}
+
+// slow waits as long as a reading call takes.
+func (r *Rows) slow() {
+	r.mu.Lock()
+	bounded := r.readsPerSecond > 0
+	r.mu.Unlock()
+	if bounded {
+		time.Sleep(readTime)
+	}
 }
 
 // NewRows returns an empty row service.
@@ -224,6 +241,7 @@
 	if err := c.check(ctx); err != nil {
 		return err
 	}
+	c.rows.slow()
 	if !c.rows.admitRead() {
 		return failure.New(failure.StoreUnavailable, "", "the store answered 429")
 	}
