Let rollouts wait at engines that work

Cause: all engines were full, and what queued there for more than 1.5 s was held to be on a silent engine: it lost its place in the queue, and the engine was left alone.

Ruled out: loads of weights, the last order to these engines was 2 to 9 s old. Change: a run that has not begun is on a silent engine only if the engine brought no event of any run for as long; it waits 4.5 s at most.

Before: TestRolloutsWaitAtEnginesThatWork red, three rollouts sent twice. After: green.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,6 +85,8 @@
 
 	pace   float64
 	paceAt time.Time
+	// heardAt is when the replica last brought an event.
+	heardAt time.Time
 }
 
 // Fleet is the set of replicas. It may be used by many goroutines.
@@ -459,9 +461,20 @@
 	return m.view("", usualPace(members, now), now).Pace
 }
 
+// Heard returns when a replica last brought an event; zero if it never did.
+func (f *Fleet) Heard(id string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil {
+		return m.heardAt
+	}
+	return time.Time{}
+}
+
 // Versioned records the version of a model that an answer showed.
 func (f *Fleet) Versioned(id, model string, version uint64) {
 	f.with(id, func(m *member) (frees bool) {
+		m.heardAt = time.Now()
 		if version <= max(m.seen[model], m.Models[model]) {
 			return false
 		}
--- a/internal/job/watch.go
+++ b/internal/job/watch.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// firstPatience is how long an engine may take for the first event of a
-	// run: it may queue the run or load weights.
+	// firstPatience is how long an engine that brings no event of any run may take
+	// for the first one of a run: it may load weights.
 	firstPatience = 1500 * time.Millisecond
+	// longestQueue is how long a run may wait for its first event at an engine that
+	// brings events of others: three times a usual rollout of a second and a half.
+	longestQueue = 4500 * time.Millisecond
 	// queuePatience is how long a run may wait at an engine for its first event
 	// while another engine has a free place. Reading the prompts of a full batch
 	// takes a tenth of that.
@@ -19,12 +22,14 @@
 )
 
 // Silent reports whether a run has been silent for too long. begun is true once
-// it brought an event.
-func Silent(silence time.Duration, begun bool) bool {
+// it brought an event; unheard is the time since its engine brought an event of any run.
+//
+// Load pattern: jobs fill all engines, and what queues there begins when others end.
+func Silent(silence time.Duration, begun bool, unheard time.Duration) bool {
 	if begun {
 		return silence > eventPatience
 	}
-	return silence > firstPatience
+	return silence > firstPatience && unheard > firstPatience || silence > longestQueue
 }
 
 const (
@@ -84,7 +89,7 @@
 				if stop != nil {
 					stop(errEnded)
 				}
-			case it.state == running && Silent(now.Sub(it.lastEvent), len(it.events) > it.had):
+			case it.state == running && Silent(now.Sub(it.lastEvent), len(it.events) > it.had, now.Sub(m.fleet.Heard(it.engine))):
 				it.stop(errSilent)
 			case it.state == running && !it.leaves && found && m.waitsInVain(r, it, rule, now):
 				it.leaves = true
--- a/internal/job/watch_test.go
+++ b/internal/job/watch_test.go
@@ -68,6 +68,30 @@
 	})
 }
 
+// Recorded from a day on 89 hosts: all engines are full, and what queues there
+// for more than a second and a half was held to be on a silent engine, lost its
+// place and had the engine left alone.
+func TestRolloutsWaitAtEnginesThatWork(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a := w.boot("a")
+		w.engines.mu.Lock()
+		w.engines.length = 60
+		w.engines.room = map[string]chan struct{}{"e1": make(chan struct{}, 4)}
+		w.engines.mu.Unlock()
+		for _, name := range []string{"e2", "e3"} {
+			a.fleet.Put(fleet.Replica{ID: name, Service: testService, Address: name, Slots: 4, Draining: true})
+		}
+		s := spec("job", 7)
+		w.accept(a, s)
+		w.finishes(a, s, 8*time.Second)
+		for i := range s.Rollouts {
+			if runs := w.engines.runsOf(s.Rollouts[i].ID); len(runs) != 1 {
+				t.Errorf("rollout %d was sent %d times", i, len(runs))
+			}
+		}
+	})
+}
+
 func TestPeekCountsNothing(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a := w.boot("a")
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -45,6 +45,8 @@
 	slow map[string]int
 	// length is the number of events of each rollout.
 	length int
+	// room is how many runs an engine goes on with at once; others wait there. Engines without an entry have room for all.
+	room map[string]chan struct{}
 }
 
 func newEngines() *engines {
@@ -71,6 +73,14 @@
 	if failing {
 		return failure.New(failure.UpstreamFailed, failure.Ran, "engine %s failed", target.ID)
 	}
+	if room := e.room[target.ID]; room != nil {
+		select {
+		case room <- struct{}{}:
+			defer func() { <-room }()
+		case <-ctx.Done():
+			return failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "the run was cancelled")
+		}
+	}
 	for n := run.After + 1; n <= length; n++ {
 		if silent {
 			<-ctx.Done()
