Keep an engine's idle connections when a run is not wanted any more (trial)

A run that is cut off closes all idle connections to its engine, and each job that ends cuts off what is left. Change: not where the run was ended for a reason of its job. Before: TestUnwantedExchangeLeavesOtherConnections red (3 connections, want 2).

--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -34,7 +33,7 @@
 )
 
 // errOwnerLost ends a run whose job has another owner.
-var errOwnerLost = errors.New("the job has another owner")
+var errOwnerLost = unwanted("the job has another owner")
 
 // store reads and writes the rows of jobs.
 type store struct{ rows platform.Rows }
