--- a/internal/failure/errors.go
+++ b/internal/failure/errors.go
@@ -9,10 +9,6 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// ErrUnwanted is in the cause of a context that ends an exchange which is not
-// wanted any more, though its upstream did nothing wrong.
-var ErrUnwanted = errors.New("it is not wanted any more")
-
 // Outcome says what is known about the execution of a request that failed.
 type Outcome string
 
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -33,7 +34,7 @@
 )
 
 // errOwnerLost ends a run whose job has another owner.
-var errOwnerLost = unwanted("the job has another owner")
+var errOwnerLost = errors.New("the job has another owner")
 
 // store reads and writes the rows of jobs.
 type store struct{ rows platform.Rows }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -169,9 +169,7 @@
 
 // broken classifies the failure of an exchange by what was sent and received.
 func (c *Client) broken(ctx context.Context, target membership.Upstream, co *conn, cause error) error {
-	if !errors.Is(context.Cause(ctx), failure.ErrUnwanted) {
-		c.pool.distrust(target.Address)
-	}
+	c.pool.distrust(target.Address)
 	outcome := failure.Unknown
 	if co.sentBytes() == 0 {
 		outcome = failure.NotRun
