Forget hosts that left while the store lost its history

Cause, found by reading: heartbeats are not listed any more, so a row that was removed while changes were lost is never shown as removed, and its host stayed known as dead for good. Change: once its row turns out to be at another version, the host is dropped. Before: TestHostThatLeftUnseenIsForgotten red (3 hosts are known). After: green.

--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -145,5 +145,8 @@
 			h.log.Info("row of a dead host is kept", "id", row.Part, "error", err.Error())
 			return
 		}
+		// A row that is at another version was deleted or written unseen, while the
+		// store's history was lost.
+		h.roster.Forget(row)
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -126,7 +126,7 @@
 func (r *Roster) Caught(now time.Duration, asked time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now-r.clock > time.Duration(float64(longestGap)*max(1, float64(len(r.entries))/unstretchedHosts)) {
+	if now-r.clock > r.usual().within(longestGap) {
 		r.since = now
 		for _, e := range r.entries {
 			e.seen = now
@@ -162,9 +162,16 @@
 func (r *Roster) StretchFrom(hosts int) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.stretchFrom(hosts)
+}
+
+func (r *Roster) stretchFrom(hosts int) float64 {
 	return max(1, float64(len(r.entries))/float64(hosts))
 }
 
+// usual is a host that keeps to the times for the present number of hosts. The caller holds mu.
+func (r *Roster) usual() Host { return Host{Stretch: r.stretchFrom(unstretchedHosts)} }
+
 // Clock returns the store's clock at the last answer, and when that was asked for.
 func (r *Roster) Clock() (time.Duration, time.Time) {
 	r.mu.Lock()
@@ -179,8 +186,7 @@
 	defer r.mu.Unlock()
 	e := r.entries[id]
 	if e == nil {
-		usual := Host{Stretch: max(1, float64(len(r.entries))/unstretchedHosts)}
-		return r.clock-r.since <= usual.within(DeadAfter)+r.delay
+		return r.clock-r.since <= r.usual().within(DeadAfter)+r.delay
 	}
 	return e.host.Incarnation == incarnation && !r.dead[id]
 }
@@ -217,6 +223,17 @@
 	return rows
 }
 
+// Forget drops what is known of a host unless its row has changed since. A host
+// that still is there shows itself by its next heartbeat.
+func (r *Roster) Forget(row platform.RowCheck) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[row.Part]; e != nil && e.version == row.Version {
+		delete(r.entries, row.Part)
+		delete(r.dead, row.Part)
+	}
+}
+
 // Rank returns a host's place in the order in which live hosts take up a piece
 // of work, 0 first. The order differs from key to key.
 func (r *Roster) Rank(key, id string) int {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -191,6 +191,26 @@
 	})
 }
 
+// A host leaves while another can't see it and the store forgets its history: the
+// removal of its row is never shown.
+func TestHostThatLeftUnseenIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		nodes := startAll(rows, 3)
+		defer stopAll(nodes)
+		nodes[1].rows.SetDown(true)
+		nodes[0].cancel()
+		nodes[0].beat.Remove(context.Background())
+		time.Sleep(time.Second)
+		rows.Forget()
+		nodes[1].rows.SetDown(false)
+		time.Sleep(forgetAfter + 2*sweepEvery*beatInterval)
+		if got := len(nodes[1].roster.entries); got != 2 {
+			t.Errorf("%d hosts are known", got)
+		}
+	})
+}
+
 // Load pattern: every host writes a row and looks at those of all, so that calls
 // grow with the hosts and rows read with their square.
 func TestMoreHostsDoNotCallMore(t *testing.T) {
