Show no position by an owner row that is out of date

Also: a host that stops did not look at jobs that were given to it a moment before, so they waited until its process ended.

Change: a refused write's row is taken in at once; results behind the row's count are left out; a stopping host adopts what is its own and hands it over.

--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -103,6 +103,10 @@
 	}
 	if !r.m.owns(owner) {
 		r.lose("a write was refused", version)
+		// The feed may be behind; by its older row this host would own the job again.
+		r.m.mu.Lock()
+		r.m.learn(r.id, owner, version)
+		r.m.mu.Unlock()
 		return true
 	}
 	if p != nil && owner.Listed == p.owner.Listed {
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -211,7 +211,7 @@
 	// Before the other hosts are known, every owner would look dead.
 	_, sawHosts := m.hosts.Clock()
 	m.mu.Lock()
-	if m.caught.IsZero() || sawHosts.IsZero() || m.leaving {
+	if m.caught.IsZero() || sawHosts.IsZero() {
 		m.mu.Unlock()
 		return
 	}
@@ -223,7 +223,9 @@
 		}
 		switch {
 		case m.owns(k.owner):
+			// A stopping host hands over what it is given meanwhile.
 			adopt = append(adopt, id)
+		case m.leaving:
 		case k.owner.Host != "" && m.hosts.Alive(k.owner.Host, k.owner.Incarnation):
 			k.orphanSince = time.Time{}
 		default:
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 )
@@ -518,3 +519,50 @@
 		w.finishes(b, s, 3*time.Second)
 	})
 }
+
+// An owner that comes back from a cut learns by a refused write that it lost its
+// job, before its feed shows it. By the older row it would own the job again, and
+// count the results that the new owner listed among its own.
+func TestOwnerThatComesBackShowsNoOtherPositions(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.engines.length = 30
+		for _, id := range []string{"a", "b", "c"} {
+			w.boot(id)
+		}
+		s := spec("job", 6)
+		w.accept(w.hosts[0], s)
+		owner, other := w.sides(s.ID)
+		// The last rollouts run when the owner is cut off.
+		w.engines.set(func(e *engines) { e.silent["e1"] = true })
+		time.Sleep(1500 * time.Millisecond)
+		owner.rows.SetDown(true)
+		w.engines.set(func(e *engines) { e.silent["e1"] = false })
+		time.Sleep(8 * time.Second)
+		want := w.finishes(other, s, 5*time.Second)
+		owner.rows.SetDown(false)
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			page, err := owner.manager.Results(t.Context(), s.ID, 0, 0)
+			if err != nil {
+				continue
+			}
+			if diff := cmp.Diff(want[:len(page.Results)], page.Results, cmpopts.EquateEmpty()); diff != "" {
+				t.Fatalf("the former owner shows other results: %s", diff)
+			}
+		}
+	})
+}
+
+func TestStoppingHostHandsOverWhatItIsGivenMeanwhile(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for _, id := range []string{"a", "b", "c"} {
+			w.boot(id)
+		}
+		s := spec("job", 4)
+		w.accept(w.hosts[0], s)
+		owner, other := w.sides(s.ID)
+		owner.beat.SetDraining()
+		owner.manager.Leave(t.Context(), 0)
+		w.finishes(other, s, 4*time.Second)
+	})
+}
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -67,6 +67,12 @@
 	if *results, err = r.m.store.readAllResults(r.ctx, r.id); err != nil {
 		return err
 	}
+	if len(*results) > r.owner.Listed {
+		// The owner row is older than the results: another host has listed since, and
+		// its results have no place before those that this row counts.
+		r.log.Info("results behind the owner row are left out", "listed", r.owner.Listed, "found", len(*results), "version", r.version)
+		*results = (*results)[:r.owner.Listed]
+	}
 	if *texts, err = r.m.store.readTexts(r.ctx, r.id); err != nil {
 		return err
 	}
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,12 +162,12 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	beat    *roster.Heartbeat
-	killed  bool
+	killed  atomic.Bool
 }
 
 // kill ends the process without a word.
 func (h *host) kill() {
-	h.killed = true
+	h.killed.Store(true)
 	h.rows.SetDown(true)
 	h.cancel()
 	h.done.Wait()
@@ -180,7 +181,9 @@
 	scores  *scores
 	rules   *fixedRules
 	boots   int
-	hosts   []*host
+
+	mu    sync.Mutex
+	hosts []*host
 }
 
 // inWorld runs a test in a bubble of its own time.
@@ -234,7 +237,9 @@
 	} {
 		h.done.Go(func() { _ = run(ctx) })
 	}
+	w.mu.Lock()
 	w.hosts = append(w.hosts, h)
+	w.mu.Unlock()
 	time.Sleep(time.Second)
 	return h
 }
@@ -328,7 +333,7 @@
 	}
 	for _, h := range w.hosts {
 		switch {
-		case h.killed:
+		case h.killed.Load():
 		case h.id == row.Host:
 			owner = h
 		default:
