--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -134,13 +134,14 @@
 	m.changed = make(chan struct{})
 }
 
-// Settled reports whether a job's rows in TableJobs will not change any more but
-// for their removal. It is for the table's follower.
+// Settled reports whether nothing that matters can change any more in a job's rows
+// in TableJobs but for their removal: all results are listed. An ended job may
+// have been listed further. It is for the table's follower.
 func (m *Manager) Settled(job string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.jobs[job]
-	return k != nil && k.version > 0 && k.owner.Total > 0 && (k.ended || k.owner.Listed >= k.owner.Total)
+	return k != nil && k.version > 0 && k.owner.Total > 0 && k.owner.Listed >= k.owner.Total
 }
 
 // learn takes an owner row that is newer than the one known. The caller holds mu.
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -542,7 +542,7 @@
 		owner.rows.SetDown(false)
 		for range 1000 {
 			time.Sleep(time.Millisecond)
-			page, err := owner.manager.Results(t.Context(), s.ID, 0, 0)
+			page, err := owner.manager.Results(context.Background(), s.ID, 0, 0)
 			if err != nil {
 				continue
 			}
@@ -562,7 +562,34 @@
 		w.accept(w.hosts[0], s)
 		owner, other := w.sides(s.ID)
 		owner.beat.SetDraining()
-		owner.manager.Leave(t.Context(), 0)
+		owner.manager.Leave(context.Background(), 0)
 		w.finishes(other, s, 4*time.Second)
 	})
 }
+
+// Played on a hunted day: a host ends a job while its feed is behind, and then the
+// store forgets its history. The job's listings must not stay unknown there.
+func TestEndedJobIsReadAgainAfterLostHistory(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for _, id := range []string{"a", "b", "c"} {
+			w.boot(id)
+		}
+		s := spec("job", 6)
+		w.accept(w.hosts[0], s)
+		_, other := w.sides(s.ID)
+		time.Sleep(100 * time.Millisecond)
+		other.rows.SetDown(true)
+		time.Sleep(3 * time.Second)
+		w.rows.Forget()
+		other.rows.SetDown(false)
+		if err := other.manager.End(context.Background(), s.ID); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		// A host whose feed is a moment old asks the store, others answer by what they know.
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			w.check(s, w.read(other, s.ID))
+		}
+	})
+}
