Make single attempts at a platform in one place

The client of the row store had its own copy of the product's transport: client, dial error, one attempt, closing idle connections after a failure. Both now call platform.Attempter and keep what differs: how a connection is dialed and what an answer means. No behaviour changes.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -12,12 +12,21 @@
 
 func (e *notSentError) Unwrap() error { return e.cause }
 
-// dial opens a connection whose write errors tell whether anything was sent.
-func dial(address string, timeout time.Duration) (net.Conn, error) {
+// Dial opens a connection within timeout.
+func Dial(address string, timeout time.Duration) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
 		return nil, &notSentError{cause: err}
 	}
+	return conn, nil
+}
+
+// dialCounted is Dial for a connection whose write errors tell whether anything was sent.
+func dialCounted(address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := Dial(address, timeout)
+	if err != nil {
+		return nil, err
+	}
 	return &countedConn{Conn: conn}, nil
 }
 
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
 )
@@ -32,26 +29,21 @@
 
 // transport makes single attempts against the platform and classifies their failures.
 type transport struct {
-	client  *fasthttp.HostClient
-	base    string
-	timeout time.Duration
+	attempter *Attempter
+	timeout   time.Duration
 }
 
 func newTransport(s *settings.Settings) *transport {
 	timeout := s.Platform.Timeout
 	return &transport{
-		client: &fasthttp.HostClient{
-			Addr:                      s.Platform.Address,
-			Dial:                      func(address string) (net.Conn, error) { return dial(address, timeout) },
-			MaxConns:                  maxConnections,
-			MaxConnWaitTimeout:        timeout,
-			MaxIdleConnDuration:       s.Timing.IdleReuse,
-			MaxResponseBodySize:       maxResponseBytes,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			NoDefaultUserAgentHeader:  true,
-		},
-		base:    "http://" + s.Platform.Address,
+		attempter: NewAttempter(AttemptConfig{
+			Address:        s.Platform.Address,
+			Dial:           func(address string) (net.Conn, error) { return dialCounted(address, timeout) },
+			Connections:    maxConnections,
+			ConnectionWait: timeout,
+			Idle:           s.Timing.IdleReuse,
+			AnswerBytes:    maxResponseBytes,
+		}),
 		timeout: timeout,
 	}
 }
@@ -76,24 +68,13 @@
 	if err := ctx.Err(); err != nil {
 		return reply{}, failure.Wrap(err, failure.StoreUnavailable, "", "call to %s was given up before it was sent", c.path)
 	}
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(t.base + c.path)
-	req.Header.SetMethod(c.method)
-	if c.body != nil {
-		req.Header.SetContentType(c.contentType)
-		req.SetBodyRaw(c.body)
-	}
-	if err := t.client.DoDeadline(req, resp, t.deadline(ctx)); err != nil {
-		return reply{}, t.classify(err, c)
+	status, body, err := t.attempter.Attempt(c.method, c.path, c.contentType, c.body, t.deadline(ctx))
+	if err != nil {
+		return reply{}, classify(err, c)
 	}
-	status := resp.StatusCode()
 	if status >= statusClassServer {
 		return reply{}, unclear(nil, c, "platform answered %d to %s", status, c.path)
 	}
-	body := append([]byte(nil), resp.Body()...)
 	return reply{status: status, body: body}, nil
 }
 
@@ -105,13 +86,10 @@
 	return deadline
 }
 
-func (t *transport) classify(err error, c call) error {
-	var unsent *notSentError
-	if errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+func classify(err error, c call) error {
+	if NotSent(err) {
 		return failure.Wrap(err, failure.StoreUnavailable, "", "platform cannot be reached for %s", c.path)
 	}
-	// Other pooled connections may have gone silent together with this one.
-	t.client.CloseIdleConnections()
 	return unclear(err, c, "platform gave no answer to %s", c.path)
 }
 
