--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 	rowsstandin "github.com/sapphirehatch/sapphirehatch/platform/standin"
@@ -138,43 +139,53 @@
 
 // read reads all results at the second host and checks them.
 func (j *jobDemo) read(ctx context.Context) error {
+	var err error
+	j.report.JobResults, err = j.readJob(ctx, "job on row platform", func(after int) (page trainerapi.JobResults, err error) {
+		text, err := j.call(ctx, 1, http.MethodGet, fmt.Sprintf("%s%s?after=%d", rowsstandin.PathJobs, jobID, after), nil, http.StatusOK)
+		if err != nil {
+			return page, err
+		}
+		// The pages of both interfaces spell the fields that are checked alike.
+		if err := json.Unmarshal(text, &page); err != nil {
+			return page, failure.Wrap(err, failure.IncompleteAnswer, failure.Unknown, "results can't be read")
+		}
+		return page, nil
+	}, func(r trainerapi.JobResult) bool { return r.Text == rowsstandin.Text(r.ID, jobEvents) })
+	return err
+}
+
+// readJob reads a job page by page until all its results are listed and checks
+// that each is listed once, completed and whole. It returns their number. Calls
+// that fail are repeated, but for answers that can't be read.
+func (d *demo) readJob(ctx context.Context, name string, fetch func(after int) (trainerapi.JobResults, error), whole func(trainerapi.JobResult) bool) (int, error) {
 	seen := map[string]bool{}
 	for next := 0; next < jobRollouts; {
-		select {
-		case <-ctx.Done():
-			j.report.broken("job: %d of %d results were listed in time", next, jobRollouts)
-			return nil
-		default:
+		if ctx.Err() != nil {
+			d.report.broken("%s: %d of %d results were listed in time", name, next, jobRollouts)
+			break
+		}
+		page, err := fetch(next)
+		if failure.IsKind(err, failure.IncompleteAnswer) {
+			return len(seen), err
 		}
-		text, err := j.call(ctx, 1, http.MethodGet, fmt.Sprintf("%s%s?after=%d", rowsstandin.PathJobs, jobID, next), nil, http.StatusOK)
 		if err != nil {
-			time.Sleep(jobPoll)
+			pause.For(ctx, jobPoll)
 			continue
 		}
-		var page struct {
-			Next    int `json:"next"`
-			Results []struct {
-				ID, State, Text string
-			} `json:"results"`
-		}
-		if err := json.Unmarshal(text, &page); err != nil {
-			return failure.Wrap(err, failure.IncompleteAnswer, failure.Unknown, "results can't be read")
-		}
 		for _, r := range page.Results {
 			if seen[r.ID] {
-				j.report.broken("rollout %s is listed twice", r.ID)
+				d.report.broken("%s: %s is listed twice", name, r.ID)
 			}
 			seen[r.ID] = true
-			if r.State != "completed" || r.Text != rowsstandin.Text(r.ID, jobEvents) {
-				j.report.broken("rollout %s is %s with the text %q", r.ID, r.State, r.Text)
+			if r.State != "completed" || !whole(r) {
+				d.report.broken("%s: %s is %s with the text %q", name, r.ID, r.State, r.Text)
 			}
 		}
 		if next = page.Next; len(page.Results) == 0 {
-			time.Sleep(jobPoll)
+			pause.For(ctx, jobPoll)
 		}
 	}
-	j.report.JobResults = len(seen)
-	return nil
+	return len(seen), nil
 }
 
 // runChatJob hands a job in at the first host and reads it at the second.
@@ -195,26 +206,10 @@
 	if err != nil {
 		return err
 	}
-	seen := map[string]bool{}
-	for next := 0; next < jobRollouts; {
-		if ctx.Err() != nil {
-			d.report.broken("job of completions: %d of %d results were listed in time", next, jobRollouts)
-			return nil
-		}
-		var page trainerapi.JobResults
-		url := fmt.Sprintf("http://%s%s/results?after=%d&wait=1s", d.hosts[1].Host.CallerAddress, path, next)
-		if _, err := client.Do(http.MethodGet, url, nil, &page); err != nil {
-			time.Sleep(jobPoll)
-			continue
-		}
-		for _, r := range page.Results {
-			if seen[r.ID] || r.State != "completed" || r.Tokens == 0 || len(r.Versions) == 0 {
-				d.report.broken("completion %s is listed as %s with %d tokens, or twice", r.ID, r.State, r.Tokens)
-			}
-			seen[r.ID] = true
-		}
-		next = page.Next
-	}
-	d.report.ChatResults = len(seen)
-	return nil
+	d.report.ChatResults, err = d.readJob(ctx, "job of completions", func(after int) (page trainerapi.JobResults, err error) {
+		url := fmt.Sprintf("http://%s%s/results?after=%d&wait=1s", d.hosts[1].Host.CallerAddress, path, after)
+		_, err = client.Do(http.MethodGet, url, nil, &page)
+		return page, err
+	}, func(r trainerapi.JobResult) bool { return r.Tokens > 0 && len(r.Versions) > 0 })
+	return err
 }
