Keep one of each: waits, followers, targets, refusals, gauges

Twice or more in the change, now once: the doubled wait after failures (follow, fleet, routing, rollout), whether a time has passed by both clocks (upstream, lease, swap), how the tables of hosts and jobs are followed (platform, chatjobs and two tests), a replica as a target, a field out of range, the scanner of an event stream, the margin of a stop, the failure line of an attempt. Two versions no longer share one number; fleet.Free was not used. Tests of jobs share their set-up.

--- a/internal/chatjobs/api.go
+++ b/internal/chatjobs/api.go
@@ -113,7 +113,7 @@
 // specOf checks a job and gives its rollouts ids that no other job has.
 func specOf(c call, req trainerapi.JobRequest) (*job.Spec, error) {
 	if len(req.Rollouts) == 0 || len(req.Rollouts) > maxRollouts {
-		return nil, outOfRange("rollouts", "1 to "+strconv.Itoa(maxRollouts))
+		return nil, failure.OutOfRange("rollouts", "1 to "+strconv.Itoa(maxRollouts))
 	}
 	spec := &job.Spec{ID: c.job, Host: c.trainer, Model: c.model, MinVersion: req.MinVersion}
 	seen := map[string]bool{}
@@ -123,13 +123,13 @@
 		}
 		switch {
 		case seen[rollout.ID]:
-			return nil, outOfRange("rollouts.id", "each once")
+			return nil, failure.OutOfRange("rollouts.id", "each once")
 		case len(rollout.Messages) == 0:
-			return nil, outOfRange("rollouts.messages", "at least 1 message")
+			return nil, failure.OutOfRange("rollouts.messages", "at least 1 message")
 		case rollout.MaxTokens < 1 || rollout.MaxTokens > maxTokens:
-			return nil, outOfRange("rollouts.max_tokens", "1 to "+strconv.Itoa(maxTokens))
+			return nil, failure.OutOfRange("rollouts.max_tokens", "1 to "+strconv.Itoa(maxTokens))
 		case rollout.ExpectedTokens < 0:
-			return nil, outOfRange("rollouts.expected_tokens", "0 or more")
+			return nil, failure.OutOfRange("rollouts.expected_tokens", "0 or more")
 		}
 		seen[rollout.ID] = true
 		body, err := json.Marshal(rollout)
@@ -141,22 +141,18 @@
 	return spec, nil
 }
 
-func outOfRange(field, limit string) error {
-	return failure.New(failure.InvalidRequest, failure.NotRun, "%s is out of range", field).WithField(field).WithLimit(limit)
-}
-
 func (a *API) results(ctx context.Context, c call) error {
 	query := c.http.QueryArgs()
 	after, wait := 0, time.Duration(0)
 	var err error
 	if value := string(query.Peek("after")); value != "" {
 		if after, err = strconv.Atoi(value); err != nil || after < 0 {
-			return outOfRange("after", "0 or more")
+			return failure.OutOfRange("after", "0 or more")
 		}
 	}
 	if value := string(query.Peek("wait")); value != "" {
 		if wait, err = time.ParseDuration(value); err != nil || wait < 0 || wait > maxWait {
-			return outOfRange("wait", "0s to "+maxWait.String())
+			return failure.OutOfRange("wait", "0s to "+maxWait.String())
 		}
 	}
 	page, err := a.jobs.Results(ctx, c.job, after, wait)
--- a/internal/chatjobs/engine.go
+++ b/internal/chatjobs/engine.go
@@ -38,7 +38,7 @@
 	if err != nil || whole {
 		return err
 	}
-	_, err = e.engines.Generate(ctx, upstreamOf(target), req, func(chunk engineapi.ChatChunk) error {
+	_, err = e.engines.Generate(ctx, target.Upstream(), req, func(chunk engineapi.ChatChunk) error {
 		p := piece{Text: chunk.Choices[0].Delta.Content, Tokens: chunk.Tokens, Finish: chunk.Choices[0].FinishReason}
 		data, err := json.Marshal(p)
 		if err != nil {
@@ -49,10 +49,6 @@
 	return err
 }
 
-func upstreamOf(r fleet.Replica) membership.Upstream {
-	return membership.Upstream{ID: r.ID, Address: r.Address, Pool: r.Service, FailureDomain: r.Domain}
-}
-
 // chatRequest returns the request that goes on behind a run's text. whole is
 // true if nothing is left to be generated.
 func chatRequest(run job.Run) (req engineapi.ChatRequest, whole bool, err error) {
--- a/internal/chatjobs/provide.go
+++ b/internal/chatjobs/provide.go
@@ -24,8 +24,6 @@
 )
 
 const (
-	// hostPoll is the time between two looks at the heartbeats of the hosts.
-	hostPoll = 300 * time.Millisecond
 	// jobWait is how long a question for changed jobs is kept waiting.
 	jobWait = 500 * time.Millisecond
 	// jobPoll bounds the questions for changed jobs.
@@ -72,8 +70,8 @@
 	m := &members{docs: docs, view: do.MustInvoke[membership.View](i), versions: do.MustInvoke[*weights.Watcher](i), fleet: engines}
 	duties.Add("job-engines", duty.Exchange, m.Run)
 	duties.Add("job-heartbeat", duty.Exchange, h.beat.Run)
-	duties.Add("job-hosts", duty.Exchange, follow.New(follow.Config{Table: roster.Table, Parted: true, Renewed: true, Interval: hostPoll, Stretch: hosts.Stretch}, rows, hosts, log).Run)
-	duties.Add("job-feed", duty.Exchange, follow.New(follow.Config{Table: job.TableJobs, Parted: true, Settled: h.manager.Settled, Wait: jobWait, Interval: jobPoll, Stretch: hosts.Stretch}, rows, h.manager, log).Run)
+	duties.Add("job-hosts", duty.Exchange, follow.New(hosts.FollowConfig(), rows, hosts, log).Run)
+	duties.Add("job-feed", duty.Exchange, follow.New(h.manager.FollowConfig(jobWait, jobPoll, hosts.Stretch), rows, h.manager, log).Run)
 	duties.Add("jobs", duty.Control, h.run)
 	return h
 }
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -8,8 +8,8 @@
 	"github.com/go-logr/logr"
 )
 
-// acceptMargin is how much longer than the entry answer's time to live a stopping host accepts requests.
-const acceptMargin = time.Second
+// AcceptMargin is how much longer than the entry answer's time to live a stopping host accepts requests.
+const AcceptMargin = time.Second
 
 // Announcer tells the other hosts that this host is stopping.
 type Announcer interface {
@@ -91,8 +91,8 @@
 	ttl := d.entryTTL()
 	d.setPhase(announced)
 	d.announcer.SetDraining()
-	d.log.Info("host is draining", "accepts_for", ttl+acceptMargin)
-	time.Sleep(ttl + acceptMargin)
+	d.log.Info("host is draining", "accepts_for", ttl+AcceptMargin)
+	time.Sleep(ttl + AcceptMargin)
 	d.setPhase(closed)
 	ctx, cancel := context.WithTimeout(context.Background(), d.grace)
 	defer cancel()
--- a/internal/failure/errors.go
+++ b/internal/failure/errors.go
@@ -175,3 +175,8 @@
 	var e *Error
 	return errors.As(err, &e) && e.Kind == kind
 }
+
+// OutOfRange returns the refusal of a request whose field is not within limit.
+func OutOfRange(field, limit string) *Error {
+	return New(InvalidRequest, NotRun, "%s is out of range", field).WithField(field).WithLimit(limit)
+}
--- a/internal/filter/forward/forward.go
+++ b/internal/filter/forward/forward.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/filter"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/routing"
 	"github.com/sapphirehatch/sapphirehatch/internal/upstream"
 )
@@ -122,7 +123,7 @@
 // because the process was paused after the request was claimed.
 func checkDispatchTime(ctx context.Context, r *filter.Request, now time.Time) error {
 	deadline, ok := ctx.Deadline()
-	late := ctx.Err() != nil || (ok && upstream.Passed(deadline, now)) || (!r.DispatchBy.IsZero() && upstream.Passed(r.DispatchBy, now))
+	late := ctx.Err() != nil || (ok && pause.Passed(deadline, now)) || (!r.DispatchBy.IsZero() && pause.Passed(r.DispatchBy, now))
 	if late {
 		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the deadline passed before an upstream was asked")
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/membership"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 )
 
@@ -52,6 +54,11 @@
 	Basis Basis
 }
 
+// Upstream returns the replica as a target of exchanges.
+func (r Replica) Upstream() membership.Upstream {
+	return membership.Upstream{ID: r.ID, Address: r.Address, Pool: r.Service, FailureDomain: r.Domain}
+}
+
 // Basis is what a host knew of a replica when it chose it.
 type Basis struct {
 	// InFlight is the number of this host's requests there.
@@ -415,7 +422,7 @@
 func (f *Fleet) Failed(id string) {
 	f.with(id, func(m *member) (frees bool) {
 		m.failures++
-		m.retryAt = time.Now().Add(min(longestPause, failurePause<<min(m.failures-1, 8)))
+		m.retryAt = time.Now().Add(pause.Doubled(failurePause, longestPause, m.failures))
 		return false
 	})
 }
@@ -484,18 +491,3 @@
 		return true
 	})
 }
-
-// Free returns the free places of a service, as far as this host knows, and all of its places.
-func (f *Fleet) Free(service string) (free, all int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	for _, m := range f.members {
-		if m.Service != service || m.gone(now) || m.Draining {
-			continue
-		}
-		all += m.Slots
-		free += max(0, m.Slots-m.inFlight-int(math.Ceil(m.othersNow(now))))
-	}
-	return free, all
-}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -114,8 +114,7 @@
 // retryAfter is the wait after a number of failures in a row. It is spread, so
 // that hosts that were refused together don't come again together.
 func retryAfter(failures int) time.Duration {
-	pause := min(longestRetry, retryPause<<min(failures-1, 8))
-	return time.Duration(float64(pause) * (0.75 + rand.Float64()/2))
+	return time.Duration(float64(pause.Doubled(retryPause, longestRetry, failures)) * (0.75 + rand.Float64()/2))
 }
 
 // step lists the table if need be and asks once for changes.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,7 +170,7 @@
 	f.flying++
 	f.avoid[target.ID] = true
 	f.basis = target.Basis
-	f.trail.ask(target.ID)
+	f.trail.begin(target.ID)
 	req := fasthttp.AcquireRequest()
 	f.call.Request.CopyTo(req)
 	go func() {
@@ -230,10 +230,7 @@
 	f.err = end.err
 	f.events.Event("attempt_failed")
 	e := failure.As(end.err)
-	f.trail.end(end.target.ID, string(e.Kind))
-	f.log.Info("attempt ended", append([]any{
-		"id", f.call.ID, "replica", end.target.ID, "kind", e.Kind, "outcome", e.Outcome, "took", end.took, "error", e.Error(),
-	}, end.target.Basis.Fields()...)...)
+	f.attemptEnded(&f.trail, f.call.ID, end.target, end.took, e)
 	switch {
 	case ctx.Err() != nil:
 		f.unknown = f.unknown || e.Outcome != failure.NotRun
@@ -248,6 +245,15 @@
 	return nil
 }
 
+// attemptEnded records the failure of a call's attempt in its trail and the log,
+// with more keys and values.
+func (g *Gateway) attemptEnded(t *trail, id string, target fleet.Replica, took time.Duration, e *failure.Error, more ...any) {
+	t.end(target.ID, string(e.Kind))
+	g.log.Info("attempt ended", append([]any{
+		"id", id, "replica", target.ID, "kind", e.Kind, "outcome", e.Outcome, "took", took, "error", e.Error(),
+	}, append(more, target.Basis.Fields()...)...)...)
+}
+
 // leaveAlone records the failure of an attempt at a replica.
 func (g *Gateway) leaveAlone(id string, e *failure.Error) {
 	if e.Kind == failure.QueueFull {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -95,7 +95,7 @@
 	}
 	s.sent++
 	s.avoid[target.ID] = true
-	s.trail.ask(target.ID)
+	s.trail.begin(target.ID)
 	began, seen := time.Now(), false
 	err := streamer.StreamEvents(ctx, target, req, resp, s.after, func(header *fasthttp.ResponseHeader) {
 		if !s.begun {
@@ -122,10 +122,7 @@
 		return nil
 	}
 	e := failure.As(err)
-	s.trail.end(target.ID, string(e.Kind))
-	s.log.Info("attempt ended", append([]any{
-		"id", s.call.ID, "replica", target.ID, "kind", e.Kind, "outcome", e.Outcome, "after", s.after, "took", time.Since(began), "error", e.Error(),
-	}, target.Basis.Fields()...)...)
+	s.attemptEnded(&s.trail, s.call.ID, target, time.Since(began), e, "after", s.after)
 	switch {
 	case s.sinkErr != nil:
 	case e.Outcome == failure.NotRun:
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -9,8 +9,8 @@
 // trailLength bounds the attempts that a call's last line names.
 const trailLength = 12
 
-// step is one attempt of a call.
-type step struct {
+// ask is one attempt of a call.
+type ask struct {
 	replica string
 	asked   time.Duration
 	// end is how the attempt ended; empty while it runs.
@@ -21,23 +21,23 @@
 // trail is what the attempts of one call brought, for its last log line.
 type trail struct {
 	began time.Time
-	steps []step
+	asks  []ask
 	more  int
 }
 
-// ask records the start of an attempt.
-func (t *trail) ask(replica string) {
-	if len(t.steps) >= trailLength {
+// begin records the start of an attempt.
+func (t *trail) begin(replica string) {
+	if len(t.asks) >= trailLength {
 		t.more++
 		return
 	}
-	t.steps = append(t.steps, step{replica: replica, asked: time.Since(t.began)})
+	t.asks = append(t.asks, ask{replica: replica, asked: time.Since(t.began)})
 }
 
 // end records the end of the latest attempt at a replica.
 func (t *trail) end(replica, end string) {
-	for i := len(t.steps) - 1; i >= 0; i-- {
-		if s := &t.steps[i]; s.replica == replica && s.end == "" {
+	for i := len(t.asks) - 1; i >= 0; i-- {
+		if s := &t.asks[i]; s.replica == replica && s.end == "" {
 			s.end, s.ended = end, time.Since(t.began)
 			return
 		}
@@ -47,8 +47,8 @@
 // String returns the attempts in the order of their starts, such as
 // "e1@0s:queue_full@3ms e2@3ms:200@81ms"; one that has not ended is "silent".
 func (t *trail) String() string {
-	parts := make([]string, 0, len(t.steps)+1)
-	for _, s := range t.steps {
+	parts := make([]string, 0, len(t.asks)+1)
+	for _, s := range t.asks {
 		end := "silent"
 		if s.end != "" {
 			end = s.end + "@" + s.ended.Round(time.Millisecond).String()
--- a/internal/gateway/trail_test.go
+++ b/internal/gateway/trail_test.go
@@ -10,18 +10,18 @@
 func TestTrail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := trail{began: time.Now()}
-		tr.ask("a")
+		tr.begin("a")
 		time.Sleep(3 * time.Millisecond)
 		tr.end("a", "queue_full")
-		tr.ask("b")
-		tr.ask("a")
+		tr.begin("b")
+		tr.begin("a")
 		time.Sleep(5 * time.Millisecond)
 		tr.end("a", "200")
 		if got, want := tr.String(), "a@0s:queue_full@3ms b@3ms:silent a@3ms:200@8ms"; got != want {
 			t.Errorf("trail is %q, want %q", got, want)
 		}
 		for range 2 * trailLength {
-			tr.ask("c")
+			tr.begin("c")
 		}
 		if got := tr.String(); !strings.HasSuffix(got, " and 15 more") {
 			t.Errorf("long trail is %q", got)
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -34,7 +34,7 @@
 	if host, incarnation, ok := m.hosts.First(owner.key(spec.ID)); ok {
 		owner.Host, owner.Incarnation = host, incarnation
 	}
-	txs, err := acceptance(spec, owner)
+	txs, owner, err := acceptance(spec, owner)
 	if err != nil {
 		return err
 	}
@@ -43,12 +43,7 @@
 			return failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "job %s was not kept", spec.ID)
 		}
 	}
-	last := txs[len(txs)-1]
-	owner.Chunks = len(last.Writes) - 1
-	for _, tx := range txs[:len(txs)-1] {
-		owner.Chunks += len(tx.Writes)
-	}
-	receipt, err := m.settle(ctx, spec.ID, last)
+	receipt, err := m.settle(ctx, spec.ID, txs[len(txs)-1])
 	if failure.IsKind(err, failure.Conflict) {
 		m.log.Info("job accepted before", "job", spec.ID)
 		return nil
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -67,15 +67,15 @@
 	places, order := m.waitingRollouts()
 	Order(order)
 	type need struct {
-		service, model string
-		version        uint64
+		service, model      string
+		minVersion, version uint64
 	}
 	full := map[need]bool{}
 	left := 0
 	for _, w := range order {
 		p := places[w.Index]
 		want := p.want(m, time.Now())
-		n := need{want.Service, want.Model, want.MinVersion + want.Version<<32}
+		n := need{want.Service, want.Model, want.MinVersion, want.Version}
 		if full[n] && len(p.it.avoid) == 0 {
 			left++
 			continue
--- a/internal/job/life_test.go
+++ b/internal/job/life_test.go
@@ -111,11 +111,7 @@
 func live(t *testing.T, after []time.Duration, struck []blow) {
 	inWorld(t, func(w *world) {
 		w.engines.length = 30
-		w.boot("a")
-		w.boot("b")
-		w.boot("c")
-		s := spec("job", 6)
-		w.accept(w.hosts[0], s)
+		s, _, _ := w.given(6, "a", "a", "b", "c")
 		ctx, cancel := context.WithCancel(context.Background())
 		var reader sync.WaitGroup
 		reader.Go(func() { w.watch(ctx, s.ID) })
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/follow"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
@@ -134,16 +135,22 @@
 	m.changed = make(chan struct{})
 }
 
-// Settled reports whether nothing that matters can change any more in a job's rows
+// settled reports whether nothing that matters can change any more in a job's rows
 // in TableJobs but for their removal: all results are listed. An ended job may
-// have been listed further. It is for the table's follower.
-func (m *Manager) Settled(job string) bool {
+// have been listed further.
+func (m *Manager) settled(job string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.jobs[job]
 	return k != nil && k.version > 0 && k.owner.Total > 0 && k.owner.Listed >= k.owner.Total
 }
 
+// FollowConfig is how TableJobs is followed for a manager: questions that wait
+// for a change, and the least time between two of them, which stretch multiplies.
+func (m *Manager) FollowConfig(wait, interval time.Duration, stretch func() float64) follow.Config {
+	return follow.Config{Table: TableJobs, Parted: true, Settled: m.settled, Wait: wait, Interval: interval, Stretch: stretch}
+}
+
 // learn takes an owner row that is newer than the one known. The caller holds mu.
 func (m *Manager) learn(job string, owner Owner, version uint64) {
 	k := m.jobs[job]
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -108,10 +108,7 @@
 
 func TestOwnerThatIsCutOffLosesItsJob(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.boot("a")
-		s := spec("job", 20)
-		w.accept(w.boot("b"), s)
-		a, b := w.sides(s.ID)
+		s, a, b := w.given(20, "b", "a", "b")
 		time.Sleep(500 * time.Millisecond)
 		before := w.read(b, s.ID)
 		a.rows.SetDown(true)
@@ -184,10 +181,7 @@
 
 func TestTextGoesOnAfterATakeOver(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.boot("a")
-		s := spec("job", 2)
-		w.accept(w.boot("b"), s)
-		a, b := w.sides(s.ID)
+		s, a, b := w.given(2, "b", "a", "b")
 		time.Sleep(8 * testPace)
 		saveNow(a, s.ID)
 		a.kill()
@@ -212,10 +206,7 @@
 func TestListingWhoseAnswerIsLost(t *testing.T) {
 	for _, late := range []bool{false, true} {
 		inWorld(t, func(w *world) {
-			w.boot("a")
-			s := spec("job", 12)
-			w.accept(w.boot("b"), s)
-			a, b := w.sides(s.ID)
+			s, a, b := w.given(12, "b", "a", "b")
 			if late {
 				a.rows.Delay(6, 700*time.Millisecond)
 			} else {
@@ -253,10 +244,7 @@
 
 func TestEndedJobIsNotTakenUpAgain(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.boot("a")
-		s := spec("job", 40)
-		w.accept(w.boot("b"), s)
-		a, b := w.sides(s.ID)
+		s, a, b := w.given(40, "b", "a", "b")
 		time.Sleep(200 * time.Millisecond)
 		a.kill()
 		if err := b.manager.End(context.Background(), s.ID); err != nil {
@@ -423,10 +411,7 @@
 
 func TestStoppingHostHandsItsJobsOver(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.boot("a")
-		s := spec("job", 20)
-		w.accept(w.boot("b"), s)
-		a, b := w.sides(s.ID)
+		s, a, b := w.given(20, "b", "a", "b")
 		time.Sleep(300 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
@@ -445,10 +430,7 @@
 
 func TestStoppingHostGoesOnWhileTheStoreIsAway(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.boot("a")
-		s := spec("job", 4)
-		w.accept(w.boot("b"), s)
-		a, b := w.sides(s.ID)
+		s, a, b := w.given(4, "b", "a", "b")
 		time.Sleep(2 * testPace)
 		a.rows.SetDown(true)
 		b.rows.SetDown(true)
@@ -526,12 +508,7 @@
 func TestOwnerThatComesBackShowsNoOtherPositions(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.engines.length = 30
-		for _, id := range []string{"a", "b", "c"} {
-			w.boot(id)
-		}
-		s := spec("job", 6)
-		w.accept(w.hosts[0], s)
-		owner, other := w.sides(s.ID)
+		s, owner, other := w.given(6, "a", "a", "b", "c")
 		// The last rollouts run when the owner is cut off.
 		w.engines.set(func(e *engines) { e.silent["e1"] = true })
 		time.Sleep(1500 * time.Millisecond)
@@ -555,12 +532,7 @@
 
 func TestStoppingHostHandsOverWhatItIsGivenMeanwhile(t *testing.T) {
 	inWorld(t, func(w *world) {
-		for _, id := range []string{"a", "b", "c"} {
-			w.boot(id)
-		}
-		s := spec("job", 4)
-		w.accept(w.hosts[0], s)
-		owner, other := w.sides(s.ID)
+		s, owner, other := w.given(4, "a", "a", "b", "c")
 		owner.beat.SetDraining()
 		owner.manager.Leave(context.Background(), 0)
 		w.finishes(other, s, 4*time.Second)
@@ -571,12 +543,7 @@
 // store forgets its history. The job's listings must not stay unknown there.
 func TestEndedJobIsReadAgainAfterLostHistory(t *testing.T) {
 	inWorld(t, func(w *world) {
-		for _, id := range []string{"a", "b", "c"} {
-			w.boot(id)
-		}
-		s := spec("job", 6)
-		w.accept(w.hosts[0], s)
-		_, other := w.sides(s.ID)
+		s, _, other := w.given(6, "a", "a", "b", "c")
 		time.Sleep(100 * time.Millisecond)
 		other.rows.SetDown(true)
 		time.Sleep(3 * time.Second)
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -57,17 +57,18 @@
 	return platform.RowWrite{RowID: ownerID(job), Value: value}, nil
 }
 
-// acceptance prepares the transactions that make a job durable; the last one decides.
-func acceptance(spec *Spec, owner Owner) ([]platform.RowTransaction, error) {
+// acceptance prepares the transactions that make a job durable; the last one
+// decides. It returns also the owner row that they write.
+func acceptance(spec *Spec, owner Owner) ([]platform.RowTransaction, Owner, error) {
 	text, err := json.Marshal(spec)
 	if err != nil {
-		return nil, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the job can't be encoded")
+		return nil, owner, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the job can't be encoded")
 	}
 	chunks := split(text, chunkBytes)
 	owner.Chunks = len(chunks)
 	first, err := ownerWrite(spec.ID, owner)
 	if err != nil {
-		return nil, err
+		return nil, owner, err
 	}
 	var txs []platform.RowTransaction
 	tx := platform.RowTransaction{}
@@ -83,7 +84,7 @@
 	}
 	tx.Writes = append(tx.Writes, first)
 	tx.Checks = []platform.RowCheck{{RowID: ownerID(spec.ID)}}
-	return append(txs, tx), nil
+	return append(txs, tx), owner, nil
 }
 
 func split(text []byte, size int) [][]byte {
--- a/internal/job/watch.go
+++ b/internal/job/watch.go
@@ -72,8 +72,9 @@
 func (m *Manager) watchRuns() {
 	clock := m.clock()
 	now := time.Now()
-	m.watchEngines(now)
-	for _, r := range m.activeRuns() {
+	runs := m.activeRuns()
+	m.watchEngines(runs, now)
+	for _, r := range runs {
 		r.mu.Lock()
 		if !r.prepared {
 			r.mu.Unlock()
@@ -105,9 +106,9 @@
 
 // watchEngines records since when the engines of running rollouts are slow.
 // Only placeRollouts calls it.
-func (m *Manager) watchEngines(now time.Time) {
+func (m *Manager) watchEngines(runs []*run, now time.Time) {
 	seen := map[string]bool{}
-	for _, r := range m.activeRuns() {
+	for _, r := range runs {
 		r.mu.Lock()
 		for _, it := range r.items {
 			if it.state == running {
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -231,9 +231,9 @@
 		h.beat.Run, h.manager.Run,
 		func(ctx context.Context) error {
 			time.Sleep(blind)
-			return follow.New(follow.Config{Table: roster.Table, Parted: true, Renewed: true, Interval: 300 * time.Millisecond}, client, r, log).Run(ctx)
+			return follow.New(r.FollowConfig(), client, r, log).Run(ctx)
 		},
-		follow.New(follow.Config{Table: TableJobs, Parted: true, Settled: h.manager.Settled, Wait: time.Second, Interval: 25 * time.Millisecond}, client, h.manager, log).Run,
+		follow.New(h.manager.FollowConfig(time.Second, 25*time.Millisecond, nil), client, h.manager, log).Run,
 	} {
 		h.done.Go(func() { _ = run(ctx) })
 	}
@@ -259,6 +259,22 @@
 	return s
 }
 
+// given boots hosts and hands a job of n rollouts in at one of them. It returns
+// the host that runs the job and another one.
+func (w *world) given(n int, at string, ids ...string) (s *Spec, owner, other *host) {
+	w.t.Helper()
+	s = spec("job", n)
+	var entry *host
+	for _, id := range ids {
+		if h := w.boot(id); id == at {
+			entry = h
+		}
+	}
+	w.accept(entry, s)
+	owner, other = w.sides(s.ID)
+	return s, owner, other
+}
+
 func (w *world) accept(h *host, s *Spec) {
 	w.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
+)
 
 // Grant is a held lease.
 type Grant struct {
@@ -12,10 +16,9 @@
 	Until time.Time
 }
 
-// ValidAt reports whether the holder may still act at now. The wall clock counts
-// too, because the monotonic clock stands still while the machine is suspended.
+// ValidAt reports whether the holder may still act at now, by both clocks.
 func (g Grant) ValidAt(now time.Time) bool {
-	return now.Before(g.Until) && now.Round(0).Before(g.Until.Round(0))
+	return !pause.Passed(g.Until, now)
 }
 
 // Holder tells controllers whether this host holds a shard.
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -123,31 +123,27 @@
 func checkStep(req trainerapi.StepRequest) error {
 	switch {
 	case len(req.Groups) == 0:
-		return outOfRange("groups", "at least 1")
+		return failure.OutOfRange("groups", "at least 1")
 	case req.GroupSize < 1 || req.GroupSize > maxGroupSize:
-		return outOfRange("group_size", "1 to "+strconv.Itoa(maxGroupSize))
+		return failure.OutOfRange("group_size", "1 to "+strconv.Itoa(maxGroupSize))
 	case len(req.Groups)*req.GroupSize > maxRollouts:
-		return outOfRange("groups", "at most "+strconv.Itoa(maxRollouts)+" rollouts a step")
+		return failure.OutOfRange("groups", "at most "+strconv.Itoa(maxRollouts)+" rollouts a step")
 	case req.MaxTokens < 1 || req.MaxTokens > maxTokensLimit:
-		return outOfRange("max_tokens", "1 to "+strconv.Itoa(maxTokensLimit))
+		return failure.OutOfRange("max_tokens", "1 to "+strconv.Itoa(maxTokensLimit))
 	case req.GroupsNeeded < 0 || req.GroupsNeeded > len(req.Groups):
-		return outOfRange("groups_needed", "0 to the number of groups")
+		return failure.OutOfRange("groups_needed", "0 to the number of groups")
 	}
 	for _, g := range req.Groups {
 		if len(g.Messages) == 0 {
-			return outOfRange("groups.messages", "at least 1 message")
+			return failure.OutOfRange("groups.messages", "at least 1 message")
 		}
 		if g.ExpectedTokens < 0 {
-			return outOfRange("groups.expected_tokens", "0 or more")
+			return failure.OutOfRange("groups.expected_tokens", "0 or more")
 		}
 	}
 	return nil
 }
 
-func outOfRange(field, limit string) error {
-	return failure.New(failure.InvalidRequest, failure.NotRun, "%s is out of range", field).WithField(field).WithLimit(limit)
-}
-
 func (a *API) progress(c call, status int) error {
 	s, err := a.store.read(c.ctx, c.trainer.Name, c.step)
 	if err != nil {
--- a/internal/rollout/scheduler.go
+++ b/internal/rollout/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 // scheduleInterval is the time between two looks at the running attempts.
@@ -153,11 +154,7 @@
 }
 
 func backoff(failures int) time.Duration {
-	wait := firstBackoff
-	for range min(failures, 16) - 1 {
-		wait = min(2*wait, longestBackoff)
-	}
-	return wait
+	return pause.Doubled(firstBackoff, longestBackoff, failures)
 }
 
 // stale reports whether a rollout is older than the trainer's bound by what this host knows.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,9 +9,18 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/sapphirehatch/sapphirehatch/internal/follow"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
+// lookInterval is the time between two looks at the heartbeats of all hosts.
+const lookInterval = 300 * time.Millisecond
+
+// FollowConfig is how the table of heartbeats is followed for a roster.
+func (r *Roster) FollowConfig() follow.Config {
+	return follow.Config{Table: Table, Parted: true, Renewed: true, Interval: lookInterval, Stretch: r.Stretch}
+}
+
 // Table is the table of heartbeat rows. Each host has a part of its own, since
 // the service does the transactions of one part one after the other.
 const Table = "hosts"
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -30,7 +30,7 @@
 	n := &node{id: id, rows: client, roster: r, beat: NewHeartbeat(Host{ID: id, Incarnation: incarnation, Address: id}, client, r, logr.Discard())}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	follower := follow.New(follow.Config{Table: Table, Parted: true, Renewed: true, Interval: 300 * time.Millisecond, Stretch: r.Stretch}, client, r, logr.Discard())
+	follower := follow.New(r.FollowConfig(), client, r, logr.Discard())
 	n.done.Go(func() { _ = n.beat.Run(ctx) })
 	n.done.Go(func() { _ = follower.Run(ctx) })
 	return n
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -7,6 +7,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/limit"
 	"github.com/sapphirehatch/sapphirehatch/internal/membership"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
@@ -73,7 +74,7 @@
 		}
 	case Refused, Failed:
 		r.failures++
-		r.view.RetryAt = now.Add(min(lastBackoff, firstBackoff<<min(r.failures-1, 5)))
+		r.view.RetryAt = now.Add(pause.Doubled(firstBackoff, lastBackoff, r.failures))
 		r.limit.Failed(now)
 	case Cancelled:
 	}
--- a/internal/swap/lease.go
+++ b/internal/swap/lease.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
@@ -110,10 +111,7 @@
 func (l *Lease) Holds() (fence uint64, until time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	// The monotonic clock stands still while a machine is suspended, the other one does not.
-	passed := !now.Before(l.until) || !now.Round(0).Before(l.until.Round(0))
-	return l.row.Fence, l.until, l.held && !l.leaving && !passed
+	return l.row.Fence, l.until, l.held && !l.leaving && !pause.Passed(l.until, time.Now())
 }
 
 // Leave stops acting for good.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -24,6 +24,13 @@
 // Gauge adds a series that is read when the text is written. name must be a constant of the program.
 func (r *Recorder) Gauge(name string, read func() float64) { r.set.GetOrCreateGauge(name, read) }
 
+// Gauges adds series that are read together when the text is written. Their names must be constants of the program.
+func (r *Recorder) Gauges(read func(set func(name string, value float64))) {
+	r.set.RegisterMetricsWriter(func(w io.Writer) {
+		read(func(name string, value float64) { metrics.WriteGaugeFloat64(w, name, value) })
+	})
+}
+
 // Kind is what a caller asked for.
 type Kind string
 
--- a/internal/upstream/dispatch.go
+++ b/internal/upstream/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 type dispatchByKey struct{}
@@ -24,15 +26,9 @@
 	return limit
 }
 
-// Passed reports whether a time has come by the monotonic clock or by the wall
-// clock, which goes on where a suspended machine's monotonic clock stands still.
-func Passed(t, now time.Time) bool {
-	return !now.Before(t) || !now.Round(0).Before(t.Round(0))
-}
-
 // mayBegin reports whether the first byte of an exchange may still be sent.
 func (c *conn) mayBegin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent > 0 || c.sendBy.IsZero() || !Passed(c.sendBy, time.Now())
+	return c.sent > 0 || c.sendBy.IsZero() || !pause.Passed(c.sendBy, time.Now())
 }
