limit: raise a limit that failures reduced when the upstream reports free slots

Cause: after an outage the limit of each replica starts again at 4 and grows by windows of 0.5 s and more, by half a request or a quarter of the difference to the earlier limit. A client that sends 60 requests a second to one host at a time then meets limits of 6 to 9 a replica where 12 and more in flight are needed: a queue stands for over a second beside replicas that report half of their 16 slots free, and is shed (the second way to queue_full; the queue of 256 was never full). Ruled out: returning clients of the storm. None were left when the newcomers were refused. Change: a load report with free slots and no queue raises the limit by a quarter of them while this host is at its limit and answers are not slower.

--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -43,6 +43,9 @@
 	// recoveryShare is the share of the difference to the sustained limit by
 	// which one increase raises the limit.
 	recoveryShare = 0.25
+	// spareShare is the share of an upstream's free slots by which one report raises
+	// the limit. Other hosts may see the same slots.
+	spareShare = 0.25
 )
 
 // Adaptive is the concurrency limit of one upstream, in requests. Latencies are
@@ -53,6 +56,8 @@
 	limit   float64
 	// slowStart is true until the limit first shrinks.
 	slowStart bool
+	// slowed is true if the latency of the last window was above the base latency.
+	slowed bool
 	// sustained is the limit before recent failures, or the limit after the last
 	// decrease because of latency.
 	sustained float64
@@ -143,12 +148,13 @@
 	base := a.BaseLatency().Seconds()
 	a.windowAverages[a.windowCount%baseWindows] = seconds(average + standardError)
 	a.windowCount++
-	slowed := average - standardError
+	lowest := average - standardError
+	a.slowed = base > 0 && lowest > maxGrowRatio*base
 	switch {
-	case base > 0 && slowed > minShrinkRatio*base:
-		a.shrink(max(minShrinkFactor, maxGrowRatio*base/slowed))
+	case base > 0 && lowest > minShrinkRatio*base:
+		a.shrink(max(minShrinkFactor, maxGrowRatio*base/lowest))
 		a.sustained = a.limit
-	case base > 0 && slowed > maxGrowRatio*base:
+	case a.slowed:
 	case float64(a.peakInFlight) >= a.limit-1:
 		a.grow()
 	}
@@ -192,6 +198,17 @@
 	a.windowCount = 0
 }
 
+// ObserveSpare raises the limit after a report that the upstream has free slots and
+// no queue, if inFlight requests of this host use up the limit and the last window
+// was not slowed. A limit that failures have reduced would otherwise hold back
+// requests from an idle upstream for as long as the windows take to raise it.
+func (a *Adaptive) ObserveSpare(free, inFlight int) {
+	if free <= 0 || a.slowed || inFlight < a.Limit() {
+		return
+	}
+	a.limit = min(a.ceiling, a.limit+spareShare*float64(free))
+}
+
 func (a *Adaptive) grow() {
 	next := a.limit + max(minIncrease, recoveryShare*(a.sustained-a.limit))
 	if a.slowStart {
--- a/internal/routing/overload_test.go
+++ b/internal/routing/overload_test.go
@@ -33,10 +33,15 @@
 func TestTwiceTheCapacity(t *testing.T) {
 	cases := map[string]struct {
 		hosts, replicas, slots int
+		// reports is true if the hosts poll the replicas' load.
+		reports bool
 	}{
 		"2 hosts, 2 replicas":  {hosts: 2, replicas: 2, slots: 32},
 		"4 hosts, 4 replicas":  {hosts: 4, replicas: 4, slots: 32},
 		"13 hosts, 4 replicas": {hosts: 13, replicas: 4, slots: 64},
+
+		"2 hosts, 2 replicas, reports":  {hosts: 2, replicas: 2, slots: 32, reports: true},
+		"13 hosts, 4 replicas, reports": {hosts: 13, replicas: 4, slots: 64, reports: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -51,7 +56,11 @@
 				}
 				balancers := make([]*fixture, 0, tc.hosts)
 				for range tc.hosts {
-					balancers = append(balancers, newFixture(t, 64, 256, upstreams...))
+					b := newFixture(t, 64, 256, upstreams...)
+					if tc.reports {
+						go func() { _ = NewPoller(b.Balancer, &stormPool{replicas: replicas}).Run(t.Context()) }()
+					}
+					balancers = append(balancers, b)
 				}
 				capacity := float64(tc.replicas*tc.slots) / answer.Seconds()
 				random := rand.New(rand.NewPCG(1, 2))
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -87,7 +87,8 @@
 // engine's queue, because its latency depends on the length of its answers. The
 // limit of a service follows its latency. But a host that has only seen the
 // service with a queue takes the queueing delay for normal latency, so a long
-// queue in the report lowers the limit too. A report without slots changes no limit.
+// queue in the report lowers the limit too, and free slots without a queue raise it.
+// A report without slots changes no limit.
 func (r *replica) loadReported(report engineapi.LoadReport, now time.Time) {
 	r.estimate.setReport(report, now)
 	switch {
@@ -97,5 +98,7 @@
 		r.limit.ObserveQueue(busy, r.view.InFlight())
 	case float64(report.Waiting) > serviceQueueShare*float64(report.Slots):
 		r.limit.ObserveOverload(report.Slots, report.Running+report.Waiting)
+	case report.Waiting == 0:
+		r.limit.ObserveSpare(report.Slots-report.Running, r.view.InFlight())
 	}
 }
