job: start a step without reading the open step before it

Cause: a job reads the saved texts and results of its model's last two steps before it places anything, for rollouts that the trainer names again. A trainer names a rollout again only after it has ended the job. Change: only jobs that their trainer ended are read from the store; open ones that run in this process are looked up in memory. Test: TestOpenStepIsNotReadBeforeTheNextOneStarts, 2 reads before, none after.

--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -286,6 +287,27 @@
 	})
 }
 
+// A step that is asked for while the one before is open must not wait until the open
+// step's texts and results have been read: a trainer names a rollout again only after
+// it has ended the job.
+func TestOpenStepIsNotReadBeforeTheNextOneStarts(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		a := c.startHost("a")
+		first := spec("job", 4)
+		c.accept(a, first)
+		time.Sleep(6 * eventInterval)
+		before := a.rows.Reads()
+		second := spec("next", 4)
+		second.Step = 1
+		c.accept(a, second)
+		synctest.Wait()
+		if n := a.rows.Reads() - before; n != 0 {
+			t.Errorf("%d reads between the acceptance of a job and its start, want none", n)
+		}
+		c.waitForResults(a, second, 3*time.Second)
+	})
+}
+
 func TestCarriedOverTextOfAnOldVersionIsNotUsed(t *testing.T) {
 	withCluster(t, func(c *cluster) {
 		a := c.startHost("a")
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/pause"
@@ -96,8 +97,8 @@
 	for i := range r.spec.Rollouts {
 		wanted[r.spec.Rollouts[i].ID] = true
 	}
-	stored, ended := r.m.earlierJobs(r.id, r.owner)
-	for _, other := range ended {
+	stored, runs := r.m.earlierJobs(r.id, r.owner)
+	for _, other := range runs {
 		other.collectCarried(wanted, texts, results)
 	}
 	for _, id := range stored {
@@ -126,7 +127,6 @@
 }
 
 // collectCarried adds the texts and results of the wanted rollouts to the maps.
-// The run has ended.
 func (r *jobRun) collectCarried(wanted map[string]bool, texts map[string]savedText, results map[string]Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,7 +136,7 @@
 			continue
 		}
 		if len(task.events) > len(texts[id].events) {
-			texts[id] = savedText{events: task.events}
+			texts[id] = savedText{events: slices.Clip(task.events)}
 		}
 		if (task.state == taskFinished || task.state == taskListed) && task.result.State == Completed {
 			results[id] = task.result
@@ -146,27 +146,35 @@
 
 // earlierJobs returns the jobs from which a job may carry rollouts over: the IDs of
 // those of its model's last carryJobs steps to read from the store, and the model's
-// runs in endedRuns, whatever their step. It leaves out jobs that are not in endedRuns
-// and whose results are all listed: they have nothing to carry over.
-func (m *Manager) earlierJobs(id string, owner OwnerRow) (stored []string, ended []*jobRun) {
+// runs in this process, whatever their step. From the store it leaves out jobs whose
+// results are all listed, and jobs that are open: their trainer still waits for their
+// rollouts, so a later job does not name them, and reading them delays every rollout of
+// this job.
+func (m *Manager) earlierJobs(id string, owner OwnerRow) (stored []string, runs []*jobRun) {
 	if owner.Model == "" {
 		return nil, nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known := map[string]bool{}
+	known := map[string]bool{id: true}
 	for _, r := range m.endedRuns[owner.Model] {
 		known[r.id] = true
-		ended = append(ended, r)
+		runs = append(runs, r)
 	}
-	for step := owner.Step - 1; step >= 0 && step >= owner.Step-carryJobs; step-- {
-		for other, state := range m.jobs {
-			if other != id && !known[other] && state.owner.Model == owner.Model && state.owner.Step == step && state.owner.Listed < state.owner.Total {
-				stored = append(stored, other)
-			}
+	for other, r := range m.runs {
+		if !known[other] && m.jobs[other] != nil && m.jobs[other].owner.Model == owner.Model {
+			known[other] = true
+			runs = append(runs, r)
+		}
+	}
+	for other, state := range m.jobs {
+		step := state.owner.Step
+		if !known[other] && state.owner.Model == owner.Model && step < owner.Step && step >= owner.Step-carryJobs &&
+			state.ended && state.owner.Listed < state.owner.Total {
+			stored = append(stored, other)
 		}
 	}
-	return stored, ended
+	return stored, runs
 }
 
 // applyCarried applies the texts and results of earlier jobs whose weight versions
