placement: limit the rollouts that an engine has not begun to answer

Change: an owner has at most a quarter of an engine's slots unanswered there; each answer brings the load and opens the window. Loads count only those of the host's own requests that the engine had begun to answer.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -90,6 +90,9 @@
 	missingSince time.Time
 	// inFlight is the number of this host's requests in flight.
 	inFlight int
+	// unanswered is the number of them that were reserved with LimitUnanswered and
+	// that the replica has not begun to answer.
+	unanswered int
 	// failures is the number of failures since the last success.
 	failures int
 	// retryAt is the end of the present backoff.
@@ -268,7 +271,8 @@
 }
 
 // Reserve chooses a replica and counts a request in flight there until Release is
-// called. The error has kind NoUpstream if the service has no replica, and kind
+// called. With LimitUnanswered the request also counts as unanswered until RecordAnswer
+// is called. The error has kind NoUpstream if the service has no replica, and kind
 // QueueFull if no replica can take the request now.
 func (f *Fleet) Reserve(want Requirements) (Replica, error) {
 	f.mu.Lock()
@@ -289,6 +293,9 @@
 		r.Estimate.ReportAge = now.Sub(m.reportedAt)
 	}
 	m.inFlight++
+	if want.LimitUnanswered {
+		m.unanswered++
+	}
 	return r, nil
 }
 
@@ -381,7 +388,7 @@
 // median latency of the service in seconds.
 func (m *member) placementReplica(model string, median float64, now time.Time) placement.Replica {
 	v := placement.Replica{
-		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, OtherInFlight: m.currentOtherInFlight(now),
+		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, OtherInFlight: m.currentOtherInFlight(now), Unanswered: m.unanswered,
 		Draining: m.Draining, Missing: !m.missingSince.IsZero(), RetryAt: m.retryAt, Slowdown: 1,
 		Version: max(m.Models[model], m.observedVersions[model]),
 	}
@@ -410,6 +417,15 @@
 	})
 }
 
+// RecordAnswer records that a replica began to answer a request that was reserved with
+// LimitUnanswered, or that the request ended without an answer. Call it once for each.
+func (f *Fleet) RecordAnswer(id string) {
+	f.update(id, func(m *member) (freesSlot bool) {
+		m.unanswered = max(0, m.unanswered-1)
+		return true
+	})
+}
+
 // update applies a change to a replica that is still known. It notifies the waiters
 // if change returns true, because a slot may have become free.
 func (f *Fleet) update(id string, change func(m *member) (freesSlot bool)) {
@@ -463,11 +479,15 @@
 }
 
 // ObserveLoad records a load report of a replica: the number of running and waiting
-// requests of all hosts, and of slots. Slots is used only if discovery gave none.
+// requests of all hosts, and of slots. Slots is used only if discovery gave none. Of
+// this host's requests, the report is taken to count those that the replica had begun to
+// answer and the one whose answer carries it; others may still be on their way. Call it
+// before RecordAnswer.
 func (f *Fleet) ObserveLoad(id string, running, waiting, slots int) {
 	f.update(id, func(m *member) (freesSlot bool) {
 		now := time.Now()
-		others := max(0, float64(running+waiting-m.inFlight))
+		counted := m.inFlight - max(0, m.unanswered-1)
+		others := max(0, float64(running+waiting-counted))
 		freesSlot = others < m.currentOtherInFlight(now)
 		m.otherInFlight, m.reportedAt = others, now
 		if slots > 0 && m.Slots == 0 {
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
@@ -97,7 +98,7 @@
 // requirements returns what the rollout requires of its engine.
 func (c candidate) requirements(m *Manager, now time.Time) fleet.Requirements {
 	want := fleet.Requirements{Service: c.rule.Service, Model: c.run.spec.Model, Request: placement.Request{
-		Domain: m.domain, MinVersion: c.run.spec.MinVersion, Avoid: c.task.avoid, AllowQueue: now.Sub(c.task.waitingSince) > queueAfter,
+		Domain: m.domain, MinVersion: c.run.spec.MinVersion, Avoid: c.task.avoid, AllowQueue: now.Sub(c.task.waitingSince) > queueAfter, LimitUnanswered: true,
 	}}
 	if c.rule.OnPolicy && len(c.task.events) > 0 {
 		want.Version = c.task.events[0].Version
@@ -177,6 +178,7 @@
 	r.mu.Lock()
 	if c.task.state != taskWaiting || r.isEnded || r.isLost {
 		r.mu.Unlock()
+		r.m.fleet.RecordAnswer(target.ID)
 		r.m.fleet.Release(target.ID)
 		return
 	}
@@ -198,8 +200,14 @@
 		"rollout", task.rollout.ID, "engine", target.ID, "after", task.eventsBefore, "waited", waited, "engine_version", target.Models[r.spec.Model],
 	}, target.Estimate.LogFields()...)...)
 	r.mu.Unlock()
+	answered := sync.OnceFunc(func() { r.m.fleet.RecordAnswer(target.ID) })
+	call.Began = answered
 	r.m.wg.Go(func() {
-		err := r.m.engine.Generate(ctx, target, call, func(e Event) error { return r.appendEvent(c, target, e) })
+		err := r.m.engine.Generate(ctx, target, call, func(e Event) error {
+			answered()
+			return r.appendEvent(c, target, e)
+		})
+		answered()
 		cancel(nil)
 		r.m.fleet.Release(target.ID)
 		r.attemptEnded(ctx, c, target, err)
--- a/internal/job/interfaces.go
+++ b/internal/job/interfaces.go
@@ -20,6 +20,9 @@
 	PriorEvents []Event
 	// Version is the required weight version; zero accepts any.
 	Version uint64
+	// Began, if not nil, is called once the engine begins to answer, which may be some
+	// time before the first event.
+	Began func()
 }
 
 // Engine sends rollouts to engines.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	InFlight int
 	// OtherInFlight is the estimated number of other hosts' requests in flight.
 	OtherInFlight float64
+	// Unanswered is the number of this host's requests in flight that the replica has
+	// not begun to answer.
+	Unanswered int
 	// Draining replicas take no new requests.
 	Draining bool
 	// Missing replicas disappeared from discovery a moment ago.
@@ -55,6 +59,9 @@
 	Avoid map[string]bool
 	// ExcludeID is the ID of a replica that must not be chosen; empty excludes none.
 	ExcludeID string
+	// LimitUnanswered limits the requests that a replica has not begun to answer; see
+	// unansweredWindow.
+	LimitUnanswered bool
 	// AllowQueue allows replicas without a free slot, up to maxQueued requests beyond
 	// the slots.
 	AllowQueue bool
@@ -119,6 +126,9 @@
 	if r.Slots == 0 {
 		return true
 	}
+	if req.LimitUnanswered && r.Unanswered >= unansweredWindow(r.Slots) {
+		return false
+	}
 	load := float64(r.InFlight) + r.OtherInFlight
 	if req.AllowQueue {
 		return load < float64(r.Slots+maxQueued)
@@ -126,6 +136,21 @@
 	return load < float64(r.Slots)
 }
 
+// unansweredShare is the share of a replica's slots that a host fills before the
+// replica begins to answer. It takes four round trips to fill a replica, some 80 ms.
+const unansweredShare = 0.25
+
+// unansweredWindow returns the number of requests that a host may have at a replica
+// before the replica begins to answer them.
+//
+// Load pattern: the owners of several models place bursts within the same tenth of a
+// second and learn of each other only by the load in the replicas' answers, which
+// takes some 20 ms. Without the window a burst that meets another one, or a replica
+// that is busy with long rollouts, fills slots that are taken, and waits in the
+// replica's queue. The window also bounds what is lost at a replica that accepts
+// requests and does not answer.
+func unansweredWindow(slots int) int { return max(1, int(math.Ceil(unansweredShare*float64(slots)))) }
+
 // Cost returns the cost of a request at a replica: its expected duration, relative to
 // an empty replica of median latency, plus domainCost, ringCost and connectionCost
 // where they apply.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -70,3 +70,25 @@
 		t.Error("the slow engine was used before the others were full")
 	}
 }
+
+func TestUnansweredWindow(t *testing.T) {
+	tests := []struct {
+		name    string
+		request Request
+		replica Replica
+		want    int
+	}{
+		{"a quarter of the slots", Request{LimitUnanswered: true}, Replica{Slots: 16, InFlight: 4, Unanswered: 4}, -1},
+		{"below it", Request{LimitUnanswered: true}, Replica{Slots: 16, InFlight: 12, Unanswered: 3}, 0},
+		{"also for a request that may queue", Request{LimitUnanswered: true, AllowQueue: true}, Replica{Slots: 16, InFlight: 16, Unanswered: 4}, -1},
+		{"at least one", Request{LimitUnanswered: true}, Replica{Slots: 1}, 0},
+		{"not for other requests", Request{}, Replica{Slots: 16, InFlight: 4, Unanswered: 4}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Choose(test.request, []Replica{test.replica}, now); got != test.want {
+				t.Errorf("chose %d, want %d", got, test.want)
+			}
+		})
+	}
+}
