storelink: relay store calls over another host while the store turns this one away

Weighed: handing the jobs of such a host over, and sending callers' requests on to a served host. Both leave a part of what the host does unserved; relayed calls cover heartbeats, feeds, jobs and reads at once, and writes are conditional, so a late one loses by itself.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -66,7 +66,10 @@
 	// Incarnation differs between two processes of one host.
 	Incarnation string `json:"incarnation"`
 	// Address is the ip:port for callers.
-	Address       string `json:"address"`
+	Address string `json:"address"`
+	// RelayPort is the port, at the IP address of Address, at which the host makes
+	// calls to the store for hosts that the store turns away; zero if it makes none.
+	RelayPort     int    `json:"relay_port,omitempty"`
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region"`
 	State         State  `json:"state"`
