pause: deadlines that neither a step of the time of day nor a suspension moves

Cause: the lease under which engines get orders, and the moment from which an exchange may not begin, were compared by the time of day as well, because the monotonic clock stands still while a machine is suspended. A clock that jumps ahead ended leases and refused exchanges early; one that jumps back during a suspension let a holder act on a lease that had run out. The sampler of log lines began a new second at each jump. Change: pause.Deadline reads CLOCK_BOOTTIME, which runs on during a suspension and ignores steps; the lease takes it when the renewal is sent. The sampler counts by the monotonic clock. Left: the lease, claims and the check before a dispatch of the other composition still compare the time of day (pause.Passed).

--- a/internal/logline/sampler.go
+++ b/internal/logline/sampler.go
@@ -23,7 +23,7 @@
 // counts holds the number of lines in the current second, by message.
 type counts struct {
 	mu sync.Mutex
-	// second is the current second.
+	// second is when the current second began.
 	second time.Time
 	// lines does not count lines that are always passed on.
 	lines map[string]int
@@ -60,7 +60,8 @@
 func (c *counts) count(record slog.Record) (pass bool, leftOut map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if second := record.Time.Truncate(time.Second); !second.Equal(c.second) {
+	// Sub uses the monotonic clock, so a step of the time of day starts no new second.
+	if passed := record.Time.Sub(c.second); passed >= time.Second {
 		for message, count := range c.lines {
 			if count > linesPerSecond {
 				if leftOut == nil {
@@ -69,7 +70,7 @@
 				leftOut[message] = count - linesPerSecond
 			}
 		}
-		c.second = second
+		c.second = record.Time
 		clear(c.lines)
 	}
 	if record.Level >= slog.LevelError || isFailure([]byte(record.Message)) {
--- a/internal/storelink/wire.go
+++ b/internal/storelink/wire.go
@@ -159,7 +159,8 @@
 	}
 	// A process that was suspended after it received the call must not make it for a
 	// caller that has given up.
-	if !s.store.Served() || pause.Passed(received.Add(r.Left), time.Now()) {
+	callerWaits := pause.DeadlineAfter(r.Left - time.Since(received))
+	if !s.store.Served() || callerWaits.Passed() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
--- a/internal/swap/lease.go
+++ b/internal/swap/lease.go
@@ -77,7 +77,7 @@
 	caughtUp bool
 	// held is true while this process is the holder, and until is when it must stop acting.
 	held  bool
-	until time.Time
+	until pause.Deadline
 	// resigned is true after Resign.
 	resigned bool
 }
@@ -128,7 +128,7 @@
 func (e *Elector) Held() (fence uint64, until time.Time, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.row.Fence, e.until, e.held && !e.resigned && !pause.Passed(e.until, time.Now())
+	return e.row.Fence, e.until.Time(), e.held && !e.resigned && !e.until.Passed()
 }
 
 // Resign ends acting and renewing for good. The lease expires after its term.
@@ -210,7 +210,7 @@
 		return false
 	}
 	id := platform.RowID{Table: LeaseTable, Part: weightsLeaseKey, Key: weightsLeaseKey}
-	sent := time.Now()
+	until := pause.DeadlineAfter(e.term - leaseMargin)
 	result, err := e.rows.Commit(ctx, platform.RowTransaction{
 		Checks: []platform.RowCheck{{RowID: id, Version: version}},
 		Writes: []platform.RowWrite{{RowID: id, Value: value}},
@@ -225,7 +225,7 @@
 		return false
 	}
 	e.row, e.version, e.held, e.changed = next, result.Version, true, true
-	e.until = sent.Add(e.term - leaseMargin)
+	e.until = until
 	return true
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 )
 
 // Buffer sizes of one connection, in bytes.
@@ -36,7 +38,7 @@
 	interrupted bool
 	// sendDeadline is the time before which the exchange's first byte must be
 	// sent; zero if there is none.
-	sendDeadline time.Time
+	sendDeadline pause.Deadline
 	// sent and received count the exchange's bytes.
 	sent     int64
 	received int64
--- a/internal/upstream/dispatch.go
+++ b/internal/upstream/dispatch.go
@@ -19,12 +19,15 @@
 
 // sendDeadlineOf returns the time before which the first byte must be sent: the
 // earlier of the dispatch time and the context's deadline; zero if there is none.
-func sendDeadlineOf(ctx context.Context) time.Time {
+func sendDeadlineOf(ctx context.Context) pause.Deadline {
 	limit, _ := ctx.Value(dispatchByKey{}).(time.Time)
 	if deadline, ok := ctx.Deadline(); ok && (limit.IsZero() || deadline.Before(limit)) {
-		return deadline
+		limit = deadline
 	}
-	return limit
+	if limit.IsZero() {
+		return pause.Deadline{}
+	}
+	return pause.DeadlineAfter(time.Until(limit))
 }
 
 // maySend reports whether a write is allowed: always after the first byte,
@@ -32,5 +35,5 @@
 func (c *conn) maySend() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent > 0 || c.sendDeadline.IsZero() || !pause.Passed(c.sendDeadline, time.Now())
+	return c.sent > 0 || c.sendDeadline.IsZero() || !c.sendDeadline.Passed()
 }
