job: tell the owner of a job that it was accepted

Cause: a host that accepts a job for another one leaves it to the change feed to tell the owner, which then reads the job from the store. Change: the accepting host sends the committed owner row and the job to the owner's peer address; the feed still does when that fails. The row decides: a late or repeated message starts nothing. relay_address is now peer_address.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -61,8 +61,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.observeOwner(spec.ID, owner, result.Version)
-	if m.owns(owner) && m.runs[spec.ID] == nil && m.jobs[spec.ID].version == result.Version {
-		m.start(spec.ID, spec, owner, result.Version)
+	m.startAccepted(Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec})
+	if !m.owns(owner) && m.notifyOwner != nil {
+		m.wg.Go(func() { m.tellOwner(Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}) })
 	}
 	return nil
 }
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/follow"
@@ -185,6 +187,8 @@
 	scores       *fakeScorer
 	rules        *fixedRules
 	incarnations int
+	// notifies is true if hosts tell the owners of the jobs that they accept.
+	notifies bool
 
 	mu    sync.Mutex
 	hosts []*host
@@ -226,8 +230,13 @@
 	for _, name := range []string{"e1", "e2", "e3"} {
 		h.fleet.Put(fleet.Replica{ID: name, Service: testService, Address: name, Slots: 4, Models: map[string]uint64{testModel: 1}})
 	}
+	var notify func(context.Context, string, Acceptance) error
+	if c.notifies {
+		notify = c.notify
+	}
 	h.manager = NewManager(Config{
-		Host: id, Incarnation: self.Incarnation, Rows: client, Hosts: r, Rules: c.rules, Fleet: h.fleet,
+		Notify: notify,
+		Host:   id, Incarnation: self.Incarnation, Rows: client, Hosts: r, Rules: c.rules, Fleet: h.fleet,
 		Engine: c.engines, Scorer: c.scores, Retention: time.Minute, Log: log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -249,6 +258,25 @@
 	return h
 }
 
+// notify delivers an Acceptance as msgpack, as between processes.
+func (c *cluster) notify(_ context.Context, id string, a Acceptance) error {
+	encoded, err := msgpack.Marshal(a)
+	if err != nil {
+		return err
+	}
+	var received Acceptance
+	if err := msgpack.Unmarshal(encoded, &received); err != nil {
+		return err
+	}
+	for _, h := range c.hosts {
+		if h.id == id && !h.killed.Load() {
+			h.manager.Accepted(received)
+			return nil
+		}
+	}
+	return failure.New(failure.UpstreamUnreachable, "", "no host %s", id)
+}
+
 func testLog(t *testing.T) logr.Logger { return logr.New(&testSink{t: t}) }
 
 // spec returns a job of n rollouts in groups of two.
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -50,6 +50,7 @@
 	log         logr.Logger
 	events      *telemetry.Recorder
 	retention   time.Duration
+	notifyOwner func(ctx context.Context, host string, a Acceptance) error
 
 	mu        sync.Mutex
 	onNewStep func(model string, oldest uint64, rollouts int)
@@ -98,6 +99,9 @@
 	Engine Engine
 	// Scorer may be nil if no rollout has a scoring call.
 	Scorer Scorer
+	// Notify tells another host that it owns a job that this host has accepted; nil
+	// leaves it to the change feed.
+	Notify func(ctx context.Context, host string, a Acceptance) error
 	// OnNewStep is called when a newer training step of a model appears, with the
 	// oldest weight version that its job allows and its number of rollouts. It must
 	// not call the Manager, which holds its lock; it may be nil.
@@ -114,7 +118,7 @@
 func NewManager(c Config) *Manager {
 	m := &Manager{
 		host: c.Host, incarnation: c.Incarnation, domain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
-		fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events, retention: c.Retention,
+		notifyOwner: c.Notify, fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events, retention: c.Retention,
 		onNewStep: c.OnNewStep, newestStep: map[string]int{}, endedRuns: map[string][]*jobRun{}, slowSince: map[string]time.Time{}, jobs: map[string]*jobState{}, runs: map[string]*jobRun{}, changed: make(chan struct{}),
 		wake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1), scoringSlots: make(chan struct{}, maxScoringCalls),
 	}
--- /dev/null
+++ b/internal/job/notify_test.go
@@ -0,0 +1,59 @@
+package job
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// An owner that is told of its job starts it before its change feed shows it.
+func TestOwnerIsToldOfItsJob(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		c.notifies = true
+		a := c.startHost("a")
+		c.startHost("b")
+		first := spec("first", 2)
+		c.accept(a, first)
+		owner, other := c.ownerAndOther(first.ID)
+		c.waitForResults(owner, first, 3*time.Second)
+		// Without the store, the owner learns of the job only by being told.
+		owner.rows.SetDown(true)
+		s := spec("job", 3)
+		c.accept(other, s)
+		synctest.Wait()
+		if n := c.engines.startedRuns(); n != 2+3 {
+			t.Errorf("%d of 3 rollouts began at once", n-2)
+		}
+		owner.rows.SetDown(false)
+		results := c.waitForResults(owner, s, 3*time.Second)
+		if diff := cmp.Diff(results, c.read(other, s.ID)); diff != "" {
+			t.Errorf("hosts return different results: %s", diff)
+		}
+	})
+}
+
+// An acceptance that arrives late, after another host took the job over, starts nothing.
+func TestLateAcceptanceStartsNothing(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		s, owner, other := c.startWithJob(8, "a", "a", "b")
+		row := c.rows.Row(ownerRowID(s.ID))
+		late := Acceptance{ID: s.ID, Version: row.Version, Spec: s}
+		if err := json.Unmarshal(row.Value, &late.Owner); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		owner.rows.SetDown(true)
+		c.waitForResults(other, s, 6*time.Second)
+		owner.rows.SetDown(false)
+		time.Sleep(time.Second)
+		begun := c.engines.startedRuns()
+		owner.manager.Accepted(late)
+		time.Sleep(time.Second)
+		if n := c.engines.startedRuns() - begun; n != 0 {
+			t.Errorf("%d runs began after a late acceptance", n)
+		}
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -67,9 +67,9 @@
 	Incarnation string `json:"incarnation"`
 	// Address is the ip:port for callers.
 	Address string `json:"address"`
-	// RelayPort is the port, at the IP address of Address, at which the host makes
-	// calls to the store for hosts that the store turns away; zero if it makes none.
-	RelayPort     int    `json:"relay_port,omitempty"`
+	// PeerPort is the port for other hosts, at the IP address of Address; zero if the
+	// host takes no calls from them.
+	PeerPort      int    `json:"peer_port,omitempty"`
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region"`
 	State         State  `json:"state"`
@@ -216,6 +216,16 @@
 	return e.host.Incarnation == incarnation && !r.dead[id]
 }
 
+// Host returns the row of a host, or the zero Host if it is not known.
+func (r *Roster) Host(id string) Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil {
+		return e.host
+	}
+	return Host{}
+}
+
 // Hosts returns the live hosts that take new work, ordered by id.
 func (r *Roster) Hosts() []Host {
 	r.mu.Lock()
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -40,10 +40,10 @@
 	ReadyAddress string `ini:"ready_address" validate:"required,ipport"`
 	// EntryAddress is the TCP ip:port at which callers ask which hosts to use. Required.
 	EntryAddress string `ini:"entry_address" validate:"required,ipport"`
-	// RelayAddress is the TCP ip:port at which this host makes calls to the row store for
-	// hosts that the store turns away. Callers must not reach it. Empty, the default,
-	// makes none, and asks no other host either.
-	RelayAddress string `ini:"relay_address" validate:"omitempty,ipport,nefield=CallerAddress"`
+	// PeerAddress is the TCP ip:port for other hosts: they tell this host of jobs that it
+	// owns, and let it make calls to the row store while the store turns them away.
+	// Callers must not reach it. Empty, the default, takes no calls, and makes none.
+	PeerAddress string `ini:"peer_address" validate:"omitempty,ipport,nefield=CallerAddress"`
 	// MetricsAddress is the TCP ip:port of the metrics. It must differ from CallerAddress.
 	// Empty, the default, serves no metrics.
 	MetricsAddress string `ini:"metrics_address" validate:"omitempty,ipport,nefield=CallerAddress"`
