upstream: bound the bytes of an answer that never ends

Cause: the head of an answer, its body and an event's line are bounded, but the HTTP library skips the extension of a chunk to its end, however long that is. An upstream in trouble could hold an exchange and a reader busy until the request's deadline. Tests: TestAnswersWithoutEndAreCut sends eleven kinds of bytes without end; the chunk extension was read for as long as the test ran, the other ten were cut before this change as well. TestAnswersOfOneByteASecondEndAtTheDeadline and TestBytesAfterAnAnswerBelongToNoRequest passed before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,9 @@
 	// sent and received count the exchange's bytes.
 	sent     int64
 	received int64
+	// maxReceived is the largest number of bytes that may be received; zero sets no
+	// limit.
+	maxReceived int64
 }
 
 func newConn(raw net.Conn, address string, progress time.Duration) *conn {
@@ -57,7 +60,7 @@
 func (c *conn) begin(ctx context.Context) func() bool {
 	c.mu.Lock()
 	c.interrupted = false
-	c.sent, c.received = 0, 0
+	c.sent, c.received, c.maxReceived = 0, 0, 0
 	c.sendDeadline = sendDeadlineOf(ctx)
 	c.mu.Unlock()
 	return context.AfterFunc(ctx, c.interrupt)
@@ -96,6 +99,14 @@
 	return c.received
 }
 
+// limitReceived makes reads fail once the exchange has received more than n further
+// bytes.
+func (c *conn) limitReceived(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxReceived = c.received + n
+}
+
 func (c *conn) close() { _ = c.raw.Close() }
 
 type connReader struct{ c *conn }
@@ -107,7 +118,11 @@
 	n, err := r.c.raw.Read(p)
 	r.c.mu.Lock()
 	r.c.received += int64(n)
+	tooLong := r.c.maxReceived > 0 && r.c.received > r.c.maxReceived
 	r.c.mu.Unlock()
+	if tooLong {
+		return 0, errAnswerTooLong
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/internal/upstream/endless_test.go
@@ -0,0 +1,137 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/settings"
+)
+
+// endlessAnswers are answers that go on until the client closes the connection: a
+// beginning, and what is repeated after it. limit is the number of bytes that a client
+// may take.
+var endlessAnswers = map[string]struct {
+	begin, repeat string
+	limit         int64
+}{
+	"status line":      {"HTTP/1.1 200 O", "O", 64 << 10},
+	"no answer at all": {"", "\x00\x01garbage", 64 << 10},
+	"line ends":        {"", "\r\n", 64 << 10},
+	"header line":      {"HTTP/1.1 200 OK\r\nX-A: ", "a", 64 << 10},
+	"headers":          {"HTTP/1.1 200 OK\r\n", "X-A: a\r\n", 64 << 10},
+	"interim answers":  {"", "HTTP/1.1 102 Processing\r\n\r\n", 64 << 10},
+	"body":             {"HTTP/1.1 200 OK\r\n\r\n", "ok", maxAnswerBytes + 64<<10},
+	"chunks":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n", maxAnswerBytes * 5 / 4},
+	"size of a chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", 64 << 10},
+	"chunk extension":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a", maxAnswerBytes * 5 / 4},
+	"trailer":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-A: a\r\n", 64 << 10},
+}
+
+// endless sends an answer without end and counts the bytes that the client took.
+func endless(begin, repeat string, pause time.Duration, taken *atomic.Int64) func(int32, net.Conn) {
+	return func(_ int32, c net.Conn) {
+		var req fasthttp.Request
+		if req.Read(bufio.NewReader(c)) != nil {
+			return
+		}
+		n, err := io.WriteString(c, begin)
+		taken.Add(int64(n))
+		block := []byte(repeat)
+		if pause == 0 {
+			block = bytes.Repeat(block, max(1, 4096/len(block)))
+		}
+		for err == nil {
+			n, err = c.Write(block)
+			taken.Add(int64(n))
+			time.Sleep(pause)
+		}
+	}
+}
+
+// Bytes that go on until the client closes must cost no more than a bounded amount of
+// memory, and must not look like an answer.
+func TestAnswersWithoutEndAreCut(t *testing.T) {
+	for name, tc := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var taken atomic.Int64
+				w := &fakeUpstream{serve: endless(tc.begin, tc.repeat, 0, &taken)}
+				client := NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+				defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
+				defer client.pool.closeIdle()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				req, resp := post()
+				err := client.Do(ctx, target, req, resp)
+				if e := failure.As(err); err == nil || e.Outcome != failure.Unknown || ctx.Err() != nil {
+					t.Errorf("got %v, want an error with an unknown outcome before the deadline", err)
+				}
+				if n := taken.Load(); n > tc.limit {
+					t.Errorf("the client took %d bytes, want at most %d", n, tc.limit)
+				}
+			})
+		})
+	}
+}
+
+// One byte a second keeps an exchange within its timeout for progress; its deadline
+// ends it all the same.
+func TestAnswersOfOneByteASecondEndAtTheDeadline(t *testing.T) {
+	for name, tc := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var taken atomic.Int64
+				w := &fakeUpstream{serve: endless(tc.begin, tc.repeat, time.Second, &taken)}
+				client := NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+				defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
+				defer client.pool.closeIdle()
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				req, resp := post()
+				began := time.Now()
+				err := client.Do(ctx, target, req, resp)
+				if took := time.Since(began); took > 20*time.Second {
+					t.Errorf("the exchange took %s, want at most its 20 s", took)
+				}
+				if err == nil {
+					t.Error("an answer without end counts as whole")
+				}
+			})
+		})
+	}
+}
+
+// Bytes after a whole answer, at once or late, never become a part of the answer to the
+// next request.
+func TestBytesAfterAnAnswerBelongToNoRequest(t *testing.T) {
+	for _, pause := range []time.Duration{0, 10 * time.Millisecond, time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var taken atomic.Int64
+				copied := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+				w := &fakeUpstream{serve: endless("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", copied, pause, &taken)}
+				client := NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+				defer time.Sleep(2 * time.Second)
+				defer client.pool.closeIdle()
+				for range 5 {
+					req, resp := post()
+					if err := client.Do(t.Context(), target, req, resp); err == nil && string(resp.Body()) != "ok" {
+						t.Errorf("the answer is %q, which the upstream sent after another answer", resp.Body())
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/protocol_error.go
+++ b/internal/upstream/protocol_error.go
@@ -11,6 +11,7 @@
 	errOtherRequest    = protocolError("answer has the id of another request")
 	errNoLength        = protocolError("answer has neither a content length nor chunked encoding")
 	errTrailingBytes   = protocolError("answer is followed by unexpected bytes")
+	errAnswerTooLong   = protocolError("answer is too long")
 	errTooManyInterim  = protocolError("too many informational (1xx) answers")
 	errNotEventStream  = protocolError("answer is not an event stream")
 	errStreamTruncated = protocolError("event stream ended before its end event")
