job: read the change feed at its full rate while a caller waits for results

Cause: beyond 30 hosts the feed of jobs is read less often, each 160 ms at 195 hosts, so that all hosts together stay within what the store allows. A trainer that waits for the last result of a step learned of it up to that much later. Change: a host at which a caller waits reads at the rate of 30 hosts. Only a few hosts have one at a time.

--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -189,6 +189,8 @@
 	incarnations int
 	// notifies is true if hosts tell the owners of the jobs that they accept.
 	notifies bool
+	// feedFactor multiplies the interval of the hosts' change feeds; zero means 1.
+	feedFactor float64
 
 	mu    sync.Mutex
 	hosts []*host
@@ -247,7 +249,7 @@
 			time.Sleep(delay)
 			return follow.New(r.FollowConfig(), client, r, log).Run(ctx)
 		},
-		follow.New(h.manager.FollowConfig(time.Second, 25*time.Millisecond, nil), client, h.manager, log).Run,
+		follow.New(h.manager.FollowConfig(time.Second, 25*time.Millisecond, func() float64 { return max(1, c.feedFactor) }), client, h.manager, log).Run,
 	} {
 		h.done.Go(func() { _ = run(ctx) })
 	}
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -72,6 +73,8 @@
 	draining bool
 	// changed is closed and replaced when jobs changes.
 	changed chan struct{}
+	// waitingReaders is the number of callers of Results that wait for a change.
+	waitingReaders atomic.Int32
 
 	// wake triggers Reconcile.
 	wake chan struct{}
@@ -172,9 +175,16 @@
 
 // FollowConfig returns the configuration for following TableJobs. wait is the
 // long-poll timeout, interval the delay between two polls. factor, if not nil,
-// returns the number by which interval is multiplied.
+// returns the number by which interval is multiplied while no caller waits here for
+// results.
 func (m *Manager) FollowConfig(wait, interval time.Duration, factor func() float64) follow.Config {
-	return follow.Config{Table: TableJobs, AllParts: true, IsFinal: m.isFinal, LongPollWait: wait, MinInterval: interval, IntervalFactor: factor}
+	scaled := func() float64 {
+		if factor == nil || m.waitingReaders.Load() > 0 {
+			return 1
+		}
+		return factor()
+	}
+	return follow.Config{Table: TableJobs, AllParts: true, IsFinal: m.isFinal, LongPollWait: wait, MinInterval: interval, IntervalFactor: scaled}
 }
 
 // observeOwner records an owner row if it is newer than the known one. The caller holds mu.
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -64,7 +64,10 @@
 			}
 			return Page{Total: owner.Total}, nil
 		}
-		if !waitForChange(ctx, changed, left) {
+		m.waitingReaders.Add(1)
+		goesOn := waitForChange(ctx, changed, left)
+		m.waitingReaders.Add(-1)
+		if !goesOn {
 			return Page{}, failure.New(failure.StoreUnavailable, failure.NotRun, "the request ended while it waited for results")
 		}
 	}
--- /dev/null
+++ b/internal/job/read_test.go
@@ -0,0 +1,41 @@
+package job
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// At 195 hosts the change feed is read each 160 ms. A caller that waits for results must
+// not wait for that as well: it learns of each within two reads of 25 ms.
+func TestWaitingReaderLearnsSoon(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		c.feedFactor = 6.4
+		c.notifies = true
+		// The results of the first job keep the feed busy when those of the second come.
+		_, owner, other := c.startWithJob(3, "a", "a", "b")
+		time.Sleep(60 * time.Millisecond)
+		s := spec("second", 3)
+		c.accept(owner, s)
+		listedAt := make(chan time.Time, 1)
+		go func() {
+			for {
+				owner.manager.mu.Lock()
+				r := owner.manager.runs[s.ID]
+				owner.manager.mu.Unlock()
+				if r != nil && len(r.listedFrom(0)) > 0 {
+					listedAt <- time.Now()
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		page, err := other.manager.Results(context.Background(), s.ID, 0, 2*time.Second)
+		if err != nil || len(page.Results) == 0 {
+			t.Fatalf("%d results, %v", len(page.Results), err)
+		}
+		if late := time.Since(<-listedAt); late > 50*time.Millisecond {
+			t.Errorf("the reader learned of a result %s after it was listed, want at most 50 ms", late)
+		}
+	})
+}
