timeline: tell from the logs where a step's time went

A step of a trainer is as late as its last rollout. The command reads the logs of all hosts and divides each job's time into waiting for an engine, attempts that yielded nothing, generating, writing and the trainer's read, for the rollout that was listed last before the end.

--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -22,12 +22,13 @@
 // commands is the root of the command line. Each field is a command whose Run method
 // takes a context.Context, which is cancelled by SIGINT or SIGTERM, and *streams.
 type commands struct {
-	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in for a system that sapphirehatch works with."`
-	Load    loadCommand    `cmd:"" help:"Generate load on running hosts and check their promises."`
-	Config  configCommand  `cmd:"" help:"Check and change the deployment document."`
-	Keys    keysCommand    `cmd:"" help:"Create the certificate authority and the keys for TLS between hosts."`
-	Demo    demoCommand    `cmd:"" help:"Run a small deployment in one process and check its promises."`
+	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
+	Standin  standinCommand  `cmd:"" help:"Run a stand-in for a system that sapphirehatch works with."`
+	Load     loadCommand     `cmd:"" help:"Generate load on running hosts and check their promises."`
+	Config   configCommand   `cmd:"" help:"Check and change the deployment document."`
+	Keys     keysCommand     `cmd:"" help:"Create the certificate authority and the keys for TLS between hosts."`
+	Timeline timelineCommand `cmd:"" help:"Tell from the logs of all hosts where the time of training steps went."`
+	Demo     demoCommand     `cmd:"" help:"Run a small deployment in one process and check its promises."`
 }
 
 // streams are the output streams of a command.
