swap: share the engines with models whose first version is still to come

Cause: the share of the engines that loads a version was counted over the models with a published version. Change: models with jobs count as well.

--- a/internal/swap/plan.go
+++ b/internal/swap/plan.go
@@ -151,7 +151,7 @@
 			})
 		}
 	}
-	required, perVersion := requiredEngines(demand, holding, slots, modelsWithTarget(demands))
+	required, perVersion := requiredEngines(demand, holding, slots, trainedModels(demands))
 	// Outdated engines, which new jobs cannot use, come first. Usable ones follow
 	// and are loaded only until the model has its share of engines with the target version.
 	slices.SortFunc(found, func(a, b candidate) int {
@@ -187,11 +187,12 @@
 	return required, (required + period - 1) / period
 }
 
-// modelsWithTarget returns the number of models with a target version, and at least one.
-func modelsWithTarget(demands map[string]Demand) int {
+// trainedModels returns the number of models that share the engines, and at least one:
+// those with a target version, and those with jobs, whose first version is still to come.
+func trainedModels(demands map[string]Demand) int {
 	n := 0
 	for _, demand := range demands {
-		if demand.TargetVersion > 0 {
+		if demand.TargetVersion > 0 || demand.Rollouts > 0 {
 			n++
 		}
 	}
--- a/internal/swap/plan_test.go
+++ b/internal/swap/plan_test.go
@@ -53,6 +53,38 @@
 	}
 }
 
+// Load pattern of the first seconds of a day: three trainers have jobs, and one of them
+// publishes its first version two seconds before the others. It must take no more than
+// its equal share of 37 engines, 13, or the versions of the others load late.
+func TestFirstVersionTakesItsShareOnly(t *testing.T) {
+	engines := make([]Engine, 37)
+	for i := range engines {
+		engines[i] = Engine{ID: string(rune('a'+i/10)) + string(rune('0'+i%10)), Slots: 6, Versions: map[string]uint64{"m1": 1, "m2": 1, "m3": 1}}
+	}
+	demands := map[string]Demand{"m1": {TargetVersion: 2, Rollouts: 64}, "m2": {Rollouts: 96}, "m3": {Rollouts: 96}}
+	ends := map[string]time.Time{}
+	orders := 0
+	for at := now; at.Before(now.Add(2 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		for i := range engines {
+			if e := &engines[i]; e.Loading && !at.Before(ends[e.ID]) {
+				e.Loading, e.Versions = false, map[string]uint64{"m1": 2, "m2": 1, "m3": 1}
+			}
+		}
+		for _, order := range Plan(engines, demands, MaxLoading(len(engines)), at) {
+			orders++
+			for i := range engines {
+				if engines[i].ID == order.Engine {
+					engines[i].Loading, engines[i].LoadingModel = true, order.Model
+					ends[order.Engine] = at.Add(900 * time.Millisecond)
+				}
+			}
+		}
+	}
+	if orders == 0 || orders > 13 {
+		t.Errorf("%d loads of the first version, want 1 to 13", orders)
+	}
+}
+
 // Two trainers publish versions in turn, and their jobs accept the previous
 // version. Each version is then loaded by about half of the nine engines, and at
 // least four of them can run a new job at any time.
