--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -60,10 +60,10 @@
 		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.observeOwner(spec.ID, owner, result.Version)
-	m.startAccepted(Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec})
+	accepted := Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}
+	m.startAccepted(accepted)
 	if !m.owns(owner) && m.notifyOwner != nil {
-		m.wg.Go(func() { m.tellOwner(Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}) })
+		m.wg.Go(func() { m.tellOwner(accepted) })
 	}
 	return nil
 }
--- a/internal/storelink/link.go
+++ b/internal/storelink/link.go
@@ -73,11 +73,15 @@
 	return l.failures >= turnedAwayFailures && now.Sub(l.failingSince) >= turnedAwayAfter
 }
 
+// MayRelay reports whether a call may be relayed: this host is turned away, and peers
+// have not just failed to help.
+func (l *Link) MayRelay(now time.Time) bool { return l.TurnedAway(now) && !now.Before(l.relayRetryAt) }
+
 // Route returns the way for the next call. Of a host that is turned away, one read in
 // probeInterval is direct and tells whether the store serves it again.
 func (l *Link) Route(read bool, now time.Time) Way {
 	switch {
-	case !l.TurnedAway(now) || now.Before(l.relayRetryAt):
+	case !l.MayRelay(now):
 		return Direct
 	case read && now.Sub(l.probedAt) >= probeInterval:
 		l.probedAt = now
--- a/internal/storelink/store.go
+++ b/internal/storelink/store.go
@@ -111,12 +111,11 @@
 	return err == nil || failure.IsKind(err, failure.Conflict) || failure.IsKind(err, failure.HistoryLost)
 }
 
-// mayRelay reports whether a call that failed directly may be relayed.
+// mayRelay reports whether a call that has failed directly may be relayed.
 func (s *Store) mayRelay() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	return s.config.Peers != nil && s.link.TurnedAway(now) && !now.Before(s.link.relayRetryAt)
+	return s.config.Peers != nil && s.link.MayRelay(time.Now())
 }
 
 // direct makes a call to the store and records whether the store served it.
--- a/internal/storelink/store_test.go
+++ b/internal/storelink/store_test.go
@@ -57,21 +57,22 @@
 
 func row(key string) platform.RowID { return platform.RowID{Table: "t", Part: "p", Key: key} }
 
-func put(key string, version uint64) platform.RowTransaction {
+// insert returns a transaction that inserts the row "k".
+func insert() platform.RowTransaction {
 	return platform.RowTransaction{
-		Checks: []platform.RowCheck{{RowID: row(key), Version: version}},
-		Writes: []platform.RowWrite{{RowID: row(key), Value: []byte("value")}},
+		Checks: []platform.RowCheck{{RowID: row("k")}},
+		Writes: []platform.RowWrite{{RowID: row("k"), Value: []byte("value")}},
 	}
 }
 
 func TestCallsAreRelayed(t *testing.T) {
 	p := newPair(t)
 	p.turnAway(t)
-	result, err := p.host.Commit(t.Context(), put("k", 0))
+	result, err := p.host.Commit(t.Context(), insert())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := p.host.Commit(t.Context(), put("k", 0)); !failure.IsKind(err, failure.Conflict) {
+	if _, err := p.host.Commit(t.Context(), insert()); !failure.IsKind(err, failure.Conflict) {
 		t.Errorf("second insert: %v, want a conflict", err)
 	}
 	page, err := p.host.Read(t.Context(), platform.RowRange{Table: "t", Part: "p"})
@@ -104,7 +105,7 @@
 	p.turnAway(t)
 	p.b.LoseAnswers(1)
 	commits := p.rows.Commits()
-	if _, err := p.host.Commit(t.Context(), put("k", 0)); !failure.IsKind(err, failure.StoreInDoubt) {
+	if _, err := p.host.Commit(t.Context(), insert()); !failure.IsKind(err, failure.StoreInDoubt) {
 		t.Errorf("error %v, want StoreInDoubt", err)
 	}
 	if n := p.rows.Commits() - commits; n != 1 {
@@ -121,7 +122,7 @@
 	p.host.mu.Lock()
 	p.host.link.relayRetryAt = time.Now().Add(time.Minute) // the next write goes directly
 	p.host.mu.Unlock()
-	if _, err := p.host.Commit(t.Context(), put("k", 0)); !failure.IsKind(err, failure.StoreInDoubt) {
+	if _, err := p.host.Commit(t.Context(), insert()); !failure.IsKind(err, failure.StoreInDoubt) {
 		t.Errorf("error %v, want StoreInDoubt", err)
 	}
 	if n := p.b.Reads(); n != 0 || len(p.rows.Row(row("k")).Value) == 0 {
@@ -133,7 +134,7 @@
 	p := newPair(t)
 	p.turnAway(t)
 	p.b.SetDown(true)
-	if _, err := p.host.Commit(t.Context(), put("k", 0)); !failure.IsKind(err, failure.StoreUnavailable) {
+	if _, err := p.host.Commit(t.Context(), insert()); !failure.IsKind(err, failure.StoreUnavailable) {
 		t.Errorf("error %v, want StoreUnavailable", err)
 	}
 }
@@ -142,7 +143,7 @@
 // waits.
 func TestCallOfACallerThatGaveUpIsNotMade(t *testing.T) {
 	p := newPair(t)
-	body, err := msgpack.Marshal(request{Left: 0, Tx: put("k", 0)})
+	body, err := msgpack.Marshal(request{Left: 0, Tx: insert()})
 	if err != nil {
 		t.Fatal(err)
 	}
