job: recognise a listing by the run that wrote it

Cause: a run whose write was refused took the listing for its own if the owner row counted as many results as its own listing would have. A late listing of an earlier run of the same process, with as many other results, was mistaken for it: one rollout stood at two positions and another was never listed. Found by a test of the check that no test covered. Change: the owner row bears a token of the run that last listed.

--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -47,7 +47,9 @@
 		for i, task := range r.ready {
 			results[i] = task.result
 		}
-		tx, owner, count, err := listTransaction(r.id, r.version, r.owner, results)
+		next := r.owner
+		next.Run = r.token
+		tx, owner, count, err := listTransaction(r.id, r.version, next, results)
 		if err != nil {
 			r.mu.Unlock()
 			r.log.Error(err, "cannot encode results")
@@ -112,13 +114,13 @@
 		r.m.mu.Unlock()
 		return true
 	}
-	if p != nil && owner.Listed == p.owner.Listed {
+	if p != nil && owner.Listed == p.owner.Listed && owner.Run == r.token {
 		r.markListed(p, version)
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if owner.Listed != r.owner.Listed {
+	if owner.Listed != r.owner.Listed || owner.Run != r.owner.Run {
 		r.markLostLocked("the owner row counts results that this host did not list", version)
 		return true
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -100,6 +100,9 @@
 	MinVersion uint64 `json:"min_version,omitempty"`
 	// Chunks is the number of rows that hold the spec.
 	Chunks int `json:"chunks"`
+	// Run identifies the run that last listed results, among all runs of all processes;
+	// empty before the first listing.
+	Run string `json:"run,omitempty"`
 }
 
 // rankingKey is the key by which hosts are ranked as owners of a job. All jobs of
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/uuid"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
@@ -21,6 +22,9 @@
 	saveInterval = 400 * time.Millisecond
 	// storeRetryDelay is the delay after a failed read or write.
 	storeRetryDelay = 150 * time.Millisecond
+	// runTokenLength is the length of a run's token: 32 bits tell the runs of one job
+	// apart.
+	runTokenLength = 8
 	// maxPageBytes limits the text of a page of results that is read from memory.
 	maxPageBytes = 512 << 10
 )
@@ -83,8 +87,10 @@
 // jobRun is a job during one ownership by this process. wake triggers its loop, done
 // is closed when the loop ends, and version is that of the owner row.
 type jobRun struct {
-	m      *Manager
-	id     string
+	m  *Manager
+	id string
+	// token identifies this run in the owner rows that it writes.
+	token  string
 	log    logr.Logger
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -126,7 +132,7 @@
 
 func newJobRun(m *Manager, id string, spec *Spec, owner OwnerRow, version uint64) *jobRun {
 	r := &jobRun{
-		m: m, id: id, log: m.log.WithValues("job", id), spec: spec, owner: owner, version: version,
+		m: m, id: id, token: uuid.NewString()[:runTokenLength], log: m.log.WithValues("job", id), spec: spec, owner: owner, version: version,
 		byID: map[string]*rolloutTask{}, wake: make(chan struct{}, 1), done: make(chan struct{}), savedAt: time.Now(),
 	}
 	r.ctx, r.cancel = context.WithCancelCause(m.ctx)
