--- a/internal/job/commit_test.go
+++ b/internal/job/commit_test.go
@@ -55,41 +55,51 @@
 // An owner row that counts results which this run did not list must end the run: listing
 // at its own positions would replace results that a trainer may have read.
 func TestResultsOfAnotherWriterKeepTheirPositions(t *testing.T) {
-	withCluster(t, func(c *cluster) {
-		a := c.startHost("a")
-		s := spec("job", 4)
-		c.accept(a, s)
-		time.Sleep(testEvents / 2 * eventInterval)
-		// A write of an earlier run of this process takes effect late.
-		row := c.rows.Row(ownerRowID(s.ID))
-		var owner OwnerRow
-		if err := json.Unmarshal(row.Value, &owner); err != nil {
-			t.Fatal(err)
-		}
-		events := make([]Event, testEvents)
-		for n := range events {
-			events[n] = Event{Data: eventText(s.Rollouts[3].ID, n+1), Version: 1}
-		}
-		late := completed(events, "signature of score "+s.Rollouts[3].ID, "score "+s.Rollouts[3].ID)
-		late.ID = s.Rollouts[3].ID
-		tx, _, _, err := listTransaction(s.ID, row.Version, owner, []Result{late})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := c.rows.Client().Commit(context.Background(), tx); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(3 * time.Second)
-		results := c.read(a, s.ID)
-		seen := map[string]bool{}
-		for _, result := range results {
-			if seen[result.ID] {
-				t.Errorf("rollout %s stands at two positions", result.ID)
-			}
-			seen[result.ID] = true
-		}
-		if len(results) != 4 || results[0].ID != late.ID {
-			t.Errorf("results are %s, want 4, the first one of %s", fmt.Sprint(results), late.ID)
+	// The late write comes before the run saves texts, and right before it lists as many
+	// results as the late write did.
+	for _, after := range []time.Duration{testEvents / 2 * eventInterval, testEvents*eventInterval - time.Millisecond} {
+		withCluster(t, func(c *cluster) { lateListing(c, after) })
+	}
+}
+
+// lateListing runs a job into which a listing of another run falls at a time after its
+// acceptance, and checks its results.
+func lateListing(c *cluster, after time.Duration) {
+	t := c.t
+	t.Helper()
+	a := c.startHost("a")
+	s := spec("job", 4)
+	c.accept(a, s)
+	time.Sleep(after)
+	// A write of an earlier run of this process takes effect late.
+	row := c.rows.Row(ownerRowID(s.ID))
+	var owner OwnerRow
+	if err := json.Unmarshal(row.Value, &owner); err != nil {
+		t.Fatal(err)
+	}
+	events := make([]Event, testEvents)
+	for n := range events {
+		events[n] = Event{Data: eventText(s.Rollouts[3].ID, n+1), Version: 1}
+	}
+	late := completed(events, "signature of score "+s.Rollouts[3].ID, "score "+s.Rollouts[3].ID)
+	late.ID = s.Rollouts[3].ID
+	tx, _, _, err := listTransaction(s.ID, row.Version, owner, []Result{late})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.rows.Client().Commit(context.Background(), tx); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	results := c.read(a, s.ID)
+	seen := map[string]bool{}
+	for _, result := range results {
+		if seen[result.ID] {
+			t.Errorf("rollout %s stands at two positions", result.ID)
 		}
-	})
+		seen[result.ID] = true
+	}
+	if len(results) != 4 || results[0].ID != late.ID {
+		t.Errorf("results are %s, want 4, the first one of %s", fmt.Sprint(results), late.ID)
+	}
 }
