--- a/internal/settings/rows_test.go
+++ b/internal/settings/rows_test.go
@@ -54,6 +54,8 @@
 		{"3000ms", "soon", "timing.lease_term"},
 		{"[timing]", "[timing]\nunknown = 1", "timing.unknown"},
 		{"10.0.0.1:81", "10.0.0.1", "host.ready_address"},
+		{"id = a\n", "id = a\npeer_address = nowhere\n", "host.peer_address"},
+		{"id = a\n", "id = a\npeer_address = 10.0.0.1:80\n", "host.peer_address"},
 	} {
 		_, err := LoadRows(writeFile(t, strings.Replace(validRowsText, test.old, test.new, 1)))
 		if e := failure.As(err); err == nil || e.Kind != failure.InvalidSettings || e.Field != test.field {
