--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -30,8 +30,9 @@
 	// Rollout is the one that decides: its result was listed last before the end.
 	Rollout string
 	// Waiting is the time in which that rollout had no engine. Lost is the time of its
-	// attempts that yielded no event, Generating that of the others, Writing the time from
-	// its score, or its last event if it has none, to its listing, and Read that from there to the job's end.
+	// attempts that yielded no event, and Generating that of the others. Writing is the
+	// time from its score to its listing; without a score it is a part of Generating. Read
+	// is the time from there to the job's end.
 	Waiting, Lost, Generating, Writing, Read time.Duration
 	// Refusals is the number of its attempts that engines refused, and Moves that of
 	// those that ended early.
