storelink: notice a suspension between receiving a call and making it; simplify

Cause: Server.Serve took the deadline of a relayed call after it had read the call, so a machine suspended in between made a call whose caller had given up. Change: the deadline is taken on arrival and moved by what the caller says (pause.Deadline.Add). Test: TestDeadlineMovedAfterASuspension; with the expression that stood there a caller that waited 3 s of a suspension of 5 s counted as waiting.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -61,7 +61,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	accepted := Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}
-	m.startAccepted(accepted)
+	m.acceptedLocked(accepted)
 	if !m.owns(owner) && m.notifyOwner != nil {
 		m.wg.Go(func() { m.tellOwner(accepted) })
 	}
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
@@ -232,7 +231,7 @@
 	for _, name := range []string{"e1", "e2", "e3"} {
 		h.fleet.Put(fleet.Replica{ID: name, Service: testService, Address: name, Slots: 4, Models: map[string]uint64{testModel: 1}})
 	}
-	var notify func(context.Context, string, Acceptance) error
+	var notify func(string, Acceptance) error
 	if c.notifies {
 		notify = c.notify
 	}
@@ -261,7 +260,7 @@
 }
 
 // notify delivers an Acceptance as msgpack, as between processes.
-func (c *cluster) notify(_ context.Context, id string, a Acceptance) error {
+func (c *cluster) notify(id string, a Acceptance) error {
 	encoded, err := msgpack.Marshal(a)
 	if err != nil {
 		return err
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -51,7 +51,7 @@
 	log         logr.Logger
 	events      *telemetry.Recorder
 	retention   time.Duration
-	notifyOwner func(ctx context.Context, host string, a Acceptance) error
+	notifyOwner func(host string, a Acceptance) error
 
 	mu        sync.Mutex
 	onNewStep func(model string, oldest uint64, rollouts int)
@@ -104,7 +104,7 @@
 	Scorer Scorer
 	// Notify tells another host that it owns a job that this host has accepted; nil
 	// leaves it to the change feed.
-	Notify func(ctx context.Context, host string, a Acceptance) error
+	Notify func(host string, a Acceptance) error
 	// OnNewStep is called when a newer training step of a model appears, with the
 	// oldest weight version that its job allows and its number of rollouts. It must
 	// not call the Manager, which holds its lock; it may be nil.
--- a/internal/job/notify.go
+++ b/internal/job/notify.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -32,22 +31,18 @@
 }
 
 // NotifyOwner sends an Acceptance to the host at an ip:port address.
-func NotifyOwner(ctx context.Context, address string, a Acceptance) error {
+func NotifyOwner(address string, a Acceptance) error {
 	body, err := msgpack.Marshal(a)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "", "acceptance of job %s can't be encoded", a.ID)
 	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(notifyTimeout)
-	}
 	client := platform.NewHTTPClient(platform.HTTPClientConfig{
 		Address:        address,
 		Dial:           func(address string) (net.Conn, error) { return platform.Dial(address, notifyTimeout) },
 		MaxConnections: 1,
 		IdleTimeout:    time.Second,
 	})
-	status, _, err := client.Attempt(fasthttp.MethodPost, PathAccepted, "application/msgpack", body, deadline)
+	status, _, err := client.Attempt(fasthttp.MethodPost, PathAccepted, "application/msgpack", body, time.Now().Add(notifyTimeout))
 	switch {
 	case err != nil:
 		return failure.Wrap(err, failure.UpstreamUnreachable, "", "owner of job %s can't be told", a.ID)
@@ -72,11 +67,11 @@
 func (m *Manager) Accepted(a Acceptance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.startAccepted(a)
+	m.acceptedLocked(a)
 }
 
-// startAccepted is Accepted. The caller holds mu.
-func (m *Manager) startAccepted(a Acceptance) {
+// acceptedLocked is Accepted; the caller holds mu.
+func (m *Manager) acceptedLocked(a Acceptance) {
 	m.observeOwner(a.ID, a.Owner, a.Version)
 	state := m.jobs[a.ID]
 	if m.owns(a.Owner) && m.runs[a.ID] == nil && state.version == a.Version && !state.ended {
@@ -86,9 +81,7 @@
 
 // tellOwner notifies the owner of a job that this host accepted.
 func (m *Manager) tellOwner(a Acceptance) {
-	ctx, cancel := context.WithTimeout(m.ctx, notifyTimeout)
-	defer cancel()
-	if err := m.notifyOwner(ctx, a.Owner.Host, a); err != nil {
+	if err := m.notifyOwner(a.Owner.Host, a); err != nil {
 		m.log.Info("owner of the job not told, it will learn from the feed", "job", a.ID, "owner", a.Owner.Host, "error", err.Error())
 	}
 }
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -64,18 +64,17 @@
 			}
 			return Page{Total: owner.Total}, nil
 		}
-		m.waitingReaders.Add(1)
-		goesOn := waitForChange(ctx, changed, left)
-		m.waitingReaders.Add(-1)
-		if !goesOn {
+		if !m.waitForChange(ctx, changed, left) {
 			return Page{}, failure.New(failure.StoreUnavailable, failure.NotRun, "the request ended while it waited for results")
 		}
 	}
 }
 
-// waitForChange waits until changed is closed or d has passed. It reports false if
-// ctx ended first.
-func waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+// waitForChange waits as a reader until changed is closed or d has passed. It reports
+// false if ctx ended first.
+func (m *Manager) waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	m.waitingReaders.Add(1)
+	defer m.waitingReaders.Add(-1)
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/pause/deadline.go
+++ b/internal/pause/deadline.go
@@ -31,6 +31,12 @@
 	return Deadline{at: time.Now().Add(d), boot: bootTime() + d}
 }
 
+// Add returns the deadline moved by a duration. A deadline that was taken at the start of some
+// work and moved once its duration is known also counts a suspension in between.
+func (d Deadline) Add(by time.Duration) Deadline {
+	return Deadline{at: d.at.Add(by), boot: d.boot + by}
+}
+
 // IsZero reports whether d is no deadline.
 func (d Deadline) IsZero() bool { return d.at.IsZero() }
 
--- a/internal/pause/deadline_test.go
+++ b/internal/pause/deadline_test.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// A request is received, the machine is suspended, and then the request is read, which
+// says for how long its caller waits.
+func TestDeadlineMovedAfterASuspension(t *testing.T) {
+	began, suspended := time.Now(), time.Duration(0)
+	real := bootTime
+	bootTime = func() time.Duration { return time.Since(began) + suspended }
+	defer func() { bootTime = real }()
+	received := DeadlineAfter(0)
+	suspended = 5 * time.Second
+	if !received.Add(3 * time.Second).Passed() {
+		t.Error("a caller that waited for 3 s of a suspension of 5 s counts as waiting")
+	}
+	if received.Add(6 * time.Second).Passed() {
+		t.Error("a caller that waits for 6 s counts as gone after 5 s")
+	}
+}
+
 func TestBootTimeRuns(t *testing.T) {
 	before := bootTime()
 	time.Sleep(5 * time.Millisecond)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -69,7 +69,7 @@
 	Address string `json:"address"`
 	// PeerPort is the port for other hosts, at the IP address of Address; zero if the
 	// host takes no calls from them.
-	PeerPort      int    `json:"peer_port,omitempty"`
+	PeerPort      uint16 `json:"peer_port,omitempty"`
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region"`
 	State         State  `json:"state"`
--- a/internal/storelink/link.go
+++ b/internal/storelink/link.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -22,7 +23,8 @@
 	// peerPause is how long a peer is not asked again after it could not help. Several
 	// rounds then ask different peers.
 	peerPause = 3 * time.Second
-	// maxPeers is the largest number of peers that are asked for one call.
+	// maxPeers is the largest number of peers of Order. A call asks these after the peer
+	// that helped last.
 	maxPeers = 3
 )
 
@@ -127,7 +129,7 @@
 	usable := make([]ranked, 0, len(peers))
 	for _, p := range peers {
 		if p.ID != self && p.Address != "" && !now.Before(l.pausedUntil[p.ID]) {
-			usable = append(usable, ranked{p, hashWeight(self, p.ID)})
+			usable = append(usable, ranked{p, xxhash.Sum64String(self + "\x00" + p.ID)})
 		}
 	}
 	slices.SortFunc(usable, func(a, b ranked) int {
@@ -143,13 +145,3 @@
 	}
 	return order
 }
-
-func hashWeight(self, peer string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(self + "\x00" + peer))
-	// The last bytes of the input change few high bits of an FNV hash.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
--- a/internal/storelink/store.go
+++ b/internal/storelink/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,14 +31,21 @@
 
 	mu   sync.Mutex
 	link Link
-	// helper is the peer that relayed the last call; its client is kept.
+	// helper is the peer that relayed the last call, and helperClient its client; nil if
+	// there is none.
 	helper       Peer
 	helperClient platform.RowStore
-	turnedAway   bool
+	// turnedAway is what was last logged.
+	turnedAway bool
 }
 
 // New returns a Store.
-func New(c Config) *Store { return &Store{config: c} }
+func New(c Config) *Store {
+	if c.Peers == nil {
+		c.Peers = func() []Peer { return nil }
+	}
+	return &Store{config: c}
+}
 
 // Served reports whether the store serves this host.
 func (s *Store) Served() bool {
@@ -90,7 +96,7 @@
 	s.mu.Lock()
 	way := s.link.Route(read, time.Now())
 	s.mu.Unlock()
-	if way == Direct || s.config.Peers == nil {
+	if way == Direct {
 		err := s.direct(ctx, do)
 		if decided(err) || ctx.Err() != nil || !read && failure.IsKind(err, failure.StoreInDoubt) || !s.mayRelay() {
 			return err
@@ -115,7 +121,7 @@
 func (s *Store) mayRelay() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.config.Peers != nil && s.link.MayRelay(time.Now())
+	return s.link.MayRelay(time.Now())
 }
 
 // direct makes a call to the store and records whether the store served it.
@@ -143,26 +149,19 @@
 	return err
 }
 
-// relay asks peers to make a call. relayed is false if none of them did, and the call
-// had no effect.
+// relay asks the peer that helped last, then others. relayed is false if none of them
+// made the call, which then had no effect.
 func (s *Store) relay(ctx context.Context, read bool, do func(platform.RowStore) error) (relayed bool, err error) {
-	for _, p := range s.candidates() {
-		client := s.client(p)
-		err = do(client)
-		if decided(err) {
-			s.helped(p, client)
-			return true, err
-		}
-		if ctx.Err() != nil {
+	s.mu.Lock()
+	helper, client := s.helper, s.helperClient
+	s.mu.Unlock()
+	if client != nil {
+		if relayed, err = s.ask(ctx, read, helper, client, do); relayed {
 			return true, err
 		}
-		s.mu.Lock()
-		s.link.PeerFailed(p.ID, time.Now())
-		if s.helper.ID == p.ID {
-			s.helper, s.helperClient = Peer{}, nil
-		}
-		s.mu.Unlock()
-		if !read && failure.IsKind(err, failure.StoreInDoubt) {
+	}
+	for _, p := range s.order() {
+		if relayed, err = s.ask(ctx, read, p, s.config.Connect(p), do); relayed {
 			return true, err
 		}
 	}
@@ -172,34 +171,33 @@
 	return false, err
 }
 
-// candidates returns the peers to ask: the one that helped last, then those of Order.
-func (s *Store) candidates() []Peer {
+// order returns the peers to ask by Link.Order.
+func (s *Store) order() []Peer {
 	peers := s.config.Peers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	order := s.link.Order(s.config.Host, s.config.Domain, peers, time.Now())
-	if s.helper.ID == "" {
-		return order
-	}
-	order = slices.DeleteFunc(order, func(p Peer) bool { return p.ID == s.helper.ID })
-	return slices.Insert(order, 0, s.helper)[:min(maxPeers, len(order)+1)]
+	return s.link.Order(s.config.Host, s.config.Domain, peers, time.Now())
 }
 
-func (s *Store) client(p Peer) platform.RowStore {
+// ask asks one peer to make a call, and keeps it for the next calls if it did.
+// relayed is false if another peer may be asked.
+func (s *Store) ask(ctx context.Context, read bool, p Peer, client platform.RowStore, do func(platform.RowStore) error) (relayed bool, err error) {
+	err = do(client)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.helper.ID == p.ID {
-		return s.helperClient
+	switch {
+	case decided(err):
+		if s.helperClient == nil {
+			s.helper, s.helperClient = p, client
+			s.config.Log.Info("calls to the store are relayed", "peer", p.ID, "domain", p.Domain)
+		}
+		return true, err
+	case ctx.Err() != nil:
+		return true, err
 	}
-	return s.config.Connect(p)
-}
-
-// helped keeps the peer that relayed a call for the next ones.
-func (s *Store) helped(p Peer, client platform.RowStore) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.helper.ID == "" {
-		s.helper, s.helperClient = p, client
-		s.config.Log.Info("calls to the store are relayed", "peer", p.ID, "domain", p.Domain)
+	s.link.PeerFailed(p.ID, time.Now())
+	if s.helper.ID == p.ID {
+		s.helper, s.helperClient = Peer{}, nil
 	}
+	return !read && failure.IsKind(err, failure.StoreInDoubt), err
 }
--- a/internal/storelink/wire.go
+++ b/internal/storelink/wire.go
@@ -41,14 +41,11 @@
 // request is a relayed call. Only the fields of its path are set.
 type request struct {
 	// Left is the time that the caller still waits.
-	Left  time.Duration
-	Range platform.RowRange
-	Table string
-	// AfterPart and AfterVersion are the arguments after of Parts and Changes.
-	AfterPart    string
-	AfterVersion uint64
-	Wait         time.Duration
-	Tx           platform.RowTransaction
+	Left    time.Duration
+	Range   platform.RowRange
+	Parts   platform.PartsRequest
+	Changes platform.ChangesRequest
+	Tx      platform.RowTransaction
 }
 
 // peerRows is a client of a peer's Server. Errors are those of platform.RowStore;
@@ -75,13 +72,13 @@
 
 // Parts implements platform.RowStore.
 func (p *peerRows) Parts(ctx context.Context, table, after string) (page platform.PartPage, err error) {
-	err = p.call(ctx, pathParts, request{Table: table, AfterPart: after}, &page)
+	err = p.call(ctx, pathParts, request{Parts: platform.PartsRequest{Table: table, After: after}}, &page)
 	return page, err
 }
 
 // Changes implements platform.RowStore.
 func (p *peerRows) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (page platform.RowPage, err error) {
-	err = p.call(ctx, pathChanges, request{Table: table, AfterVersion: after, Wait: wait}, &page)
+	err = p.call(ctx, pathChanges, request{Changes: platform.ChangesRequest{Table: table, After: after, Wait: wait}}, &page)
 	return page, err
 }
 
@@ -92,7 +89,7 @@
 }
 
 func (p *peerRows) call(ctx context.Context, path string, r request, reply any) error {
-	deadline := time.Now().Add(callTimeout + r.Wait)
+	deadline := time.Now().Add(callTimeout + r.Changes.Wait)
 	if end, ok := ctx.Deadline(); ok && end.Before(deadline) {
 		deadline = end
 	}
@@ -139,7 +136,7 @@
 // Serve handles a relayed call. The status is 200, 409 for a conflict, 410 for a lost
 // history, 503 if the call was not made or had no effect, else 504.
 func (s *Server) Serve(ctx *fasthttp.RequestCtx) {
-	received := time.Now()
+	received := pause.DeadlineAfter(0)
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
@@ -159,12 +156,12 @@
 	}
 	// A process that was suspended after it received the call must not make it for a
 	// caller that has given up.
-	callerWaits := pause.DeadlineAfter(r.Left - time.Since(received))
-	if !s.store.Served() || callerWaits.Passed() {
+	deadline := received.Add(r.Left)
+	if !s.store.Served() || deadline.Passed() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	callCtx, cancel := context.WithDeadline(context.Background(), received.Add(r.Left))
+	callCtx, cancel := context.WithDeadline(context.Background(), deadline.Time())
 	defer cancel()
 	var reply any
 	err := s.store.direct(callCtx, func(rows platform.RowStore) (err error) {
@@ -197,9 +194,9 @@
 	case pathRead:
 		return rows.Read(ctx, r.Range)
 	case pathParts:
-		return rows.Parts(ctx, r.Table, r.AfterPart)
+		return rows.Parts(ctx, r.Parts.Table, r.Parts.After)
 	case pathChanges:
-		return rows.Changes(ctx, r.Table, r.AfterVersion, r.Wait)
+		return rows.Changes(ctx, r.Changes.Table, r.Changes.After, r.Changes.Wait)
 	}
 	return rows.Commit(ctx, r.Tx)
 }
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -47,9 +47,9 @@
 
 // rollout is the history of one rollout of a job.
 type rollout struct {
-	attempts          []attempt
-	scored, listed    time.Time
-	refusals, endings int
+	attempts        []attempt
+	scored, listed  time.Time
+	refusals, moves int
 }
 
 // jobLog is what the log has of a job.
@@ -122,7 +122,7 @@
 		r.attempts = append(r.attempts, attempt{sent: l.at})
 	case "run of a rollout ended early":
 		r := j.rollout(id)
-		r.endings++
+		r.moves++
 		r.end(l.at, l.fields["new"] != "0")
 	case "engine refused a rollout":
 		r := j.rollout(id)
@@ -162,7 +162,7 @@
 	if last == nil {
 		return
 	}
-	s.Refusals, s.Moves = last.refusals, last.endings
+	s.Refusals, s.Moves = last.refusals, last.moves
 	free := s.Accepted
 	for _, a := range last.attempts {
 		s.Waiting += max(0, a.sent.Sub(free))
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,8 +20,8 @@
 const (
 	// maxAnswerBytes bounds the body of an answer that is not streamed.
 	maxAnswerBytes = 64 << 20
-	// maxFramingShare bounds the framing of a chunked body, as the divisor of its size.
-	maxFramingShare = 8
+	// maxFramedBytes bounds such a body with the sizes and extensions of its chunks.
+	maxFramedBytes = maxAnswerBytes + maxAnswerBytes/8
 	// maxAnswerHeaders bounds the headers read for one request: those with a 1xx status
 	// and the final one.
 	maxAnswerHeaders = 8
@@ -221,8 +221,8 @@
 	if !bodyExpected(resp) {
 		return checkDrained(co)
 	}
-	// ReadBody bounds the body, but not the sizes and extensions of its chunks.
-	co.limitReceived(maxAnswerBytes + maxAnswerBytes/maxFramingShare)
+	// ReadBody bounds the body, but not the framing of its chunks.
+	co.limitReceived(maxFramedBytes)
 	if err := resp.ReadBody(co.reader, maxAnswerBytes); err != nil {
 		return err
 	}
