job: bound TestWaitingReaderLearnsSoon, which could run for ever

Its observer looked each millisecond for results of the running job; a run lists all its results and ends within one simulated instant, so the observer could miss it, and then looked for ever. Probe: in 20 of 400 plays or more the run was last seen at 400 ms, gone at 401 ms, with 3 listed in its row; each whole run of the package is one play, and 1 of 12 of them hung here. Change: the observer reads the job's row in the store, which lasts, and gives up after 3 s. The bound of 50 ms stays.

--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -374,6 +374,24 @@
 	}
 }
 
+// firstListing waits until the store shows the first listed results of a job and returns
+// that time, to the millisecond. A run can list all its results and end in one instant,
+// so only its row shows each listing.
+func (c *cluster) firstListing(id string, within time.Duration) time.Time {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		var row OwnerRow
+		if err := json.Unmarshal(c.rows.Row(ownerRowID(id)).Value, &row); err != nil {
+			c.t.Errorf("owner row of %s: %v", id, err)
+			break
+		}
+		if row.Listed > 0 {
+			return time.Now()
+		}
+	}
+	c.t.Errorf("no result of %s is listed within %s", id, within)
+	return time.Time{}
+}
+
 // ownerAndOther returns the host that owns a job and another live one.
 func (c *cluster) ownerAndOther(id string) (owner, other *host) {
 	c.t.Helper()
--- a/internal/job/read_test.go
+++ b/internal/job/read_test.go
@@ -18,23 +18,13 @@
 		s := spec("second", 3)
 		c.accept(owner, s)
 		listedAt := make(chan time.Time, 1)
-		go func() {
-			for {
-				owner.manager.mu.Lock()
-				r := owner.manager.runs[s.ID]
-				owner.manager.mu.Unlock()
-				if r != nil && len(r.listedFrom(0)) > 0 {
-					listedAt <- time.Now()
-					return
-				}
-				time.Sleep(time.Millisecond)
-			}
-		}()
+		go func() { listedAt <- c.firstListing(s.ID, 3*time.Second) }()
 		page, err := other.manager.Results(context.Background(), s.ID, 0, 2*time.Second)
 		if err != nil || len(page.Results) == 0 {
 			t.Fatalf("%d results, %v", len(page.Results), err)
 		}
-		if late := time.Since(<-listedAt); late > 50*time.Millisecond {
+		read := time.Now()
+		if late := read.Sub(<-listedAt); late > 50*time.Millisecond {
 			t.Errorf("the reader learned of a result %s after it was listed, want at most 50 ms", late)
 		}
 	})
