job: keep the feed at full rate between the pages of a caller

Cause: a caller counted as waiting only inside one wait. Woken by any change, or away for a round trip between two pages, it did not count, and a read of the feed that ended then was followed by the long interval (160 ms at 195 hosts). Change: a caller counts until 500 ms after its last wait.

--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -73,8 +72,10 @@
 	draining bool
 	// changed is closed and replaced when jobs changes.
 	changed chan struct{}
-	// waitingReaders is the number of callers of Results that wait for a change.
-	waitingReaders atomic.Int32
+	// waitingReaders is the number of callers of Results that wait for a change, and
+	// lastWait the time at which the last one stopped waiting.
+	waitingReaders int
+	lastWait       time.Time
 
 	// wake triggers Reconcile.
 	wake chan struct{}
@@ -175,11 +176,11 @@
 
 // FollowConfig returns the configuration for following TableJobs. wait is the
 // long-poll timeout, interval the delay between two polls. factor, if not nil,
-// returns the number by which interval is multiplied while no caller waits here for
-// results.
+// returns the number by which interval is multiplied unless a caller waits here for
+// results, or did within readerReturnTime.
 func (m *Manager) FollowConfig(wait, interval time.Duration, factor func() float64) follow.Config {
 	scaled := func() float64 {
-		if factor == nil || m.waitingReaders.Load() > 0 {
+		if factor == nil || m.hasReader() {
 			return 1
 		}
 		return factor()
@@ -187,6 +188,13 @@
 	return follow.Config{Table: TableJobs, AllParts: true, IsFinal: m.isFinal, LongPollWait: wait, MinInterval: interval, IntervalFactor: scaled}
 }
 
+// hasReader reports whether a caller waits here for results, or is about to ask for more.
+func (m *Manager) hasReader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.waitingReaders > 0 || time.Since(m.lastWait) < readerReturnTime
+}
+
 // observeOwner records an owner row if it is newer than the known one. The caller holds mu.
 func (m *Manager) observeOwner(job string, owner OwnerRow, version uint64) {
 	state := m.jobs[job]
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -11,6 +11,11 @@
 // there are no new results without asking the store.
 const maxFeedAge = 800 * time.Millisecond
 
+// readerReturnTime is how long a caller that was given results may take to ask for more.
+// Meanwhile it counts as waiting: reading the feed slowly would delay its next page by
+// more than the round trip that it is away for.
+const readerReturnTime = 500 * time.Millisecond
+
 // Page is a range of a job's results.
 type Page struct {
 	// Total is the number of the job's rollouts.
@@ -73,8 +78,8 @@
 // waitForChange waits as a reader until changed is closed or d has passed. It reports
 // false if ctx ended first.
 func (m *Manager) waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
-	m.waitingReaders.Add(1)
-	defer m.waitingReaders.Add(-1)
+	m.countReader(1)
+	defer m.countReader(-1)
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -86,6 +91,13 @@
 	return true
 }
 
+func (m *Manager) countReader(by int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waitingReaders += by
+	m.lastWait = time.Now()
+}
+
 // readCurrentOwner reads the owner row from the store, for a job that the change
 // feed does not show or shows too late.
 func (m *Manager) readCurrentOwner(ctx context.Context, id string) (OwnerRow, error) {
--- a/internal/job/read_test.go
+++ b/internal/job/read_test.go
@@ -29,3 +29,34 @@
 		}
 	})
 }
+
+// A caller reads page after page and is away for a round trip in between. A read of the
+// feed that ends meanwhile must not be followed by a long interval.
+func TestFeedRunsAtFullRateBetweenPages(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		a := c.startHost("a")
+		factor := a.manager.FollowConfig(time.Second, 25*time.Millisecond, func() float64 { return 6.4 }).IntervalFactor
+		s := spec("job", 4)
+		c.accept(a, s)
+		if got := factor(); got != 6.4 {
+			t.Errorf("factor is %g before any caller waits, want 6.4", got)
+		}
+		for from := 0; from < len(s.Rollouts); {
+			page, err := a.manager.Results(context.Background(), s.ID, from, 2*time.Second)
+			if err != nil || len(page.Results) == 0 {
+				t.Fatalf("%d results after %d, %v", len(page.Results), from, err)
+			}
+			from += len(page.Results)
+			for range 6 {
+				if got := factor(); got != 1 {
+					t.Fatalf("factor is %g while the caller is away after result %d, want 1", got, from)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		time.Sleep(time.Second)
+		if got := factor(); got != 6.4 {
+			t.Errorf("factor is %g a second after the last caller, want 6.4", got)
+		}
+	})
+}
