limit: shrink at 7 % of added latency, share free slots among hosts

Cause of the known red TestTwiceTheCapacity/4_hosts: the limits rest anywhere up to 10 % above the base latency, where 35 or 36 requests share 32 slots. Answers of equal length end in clusters, so a mean of 110 ms goes with a 99th percentile of 142 to 151 ms. Probe: limits and requests of each replica each 0.25 s. Each host took a quarter of the free slots of the same report, 13 hosts more than three times of them. Change: a limit shrinks above 1.07 of the base latency; a host takes the share of the free slots that it has of the running requests, where more than an eighth is free. TestSpareSlotsRaiseTheLimit states the share in place of the quarter.

--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -26,7 +26,7 @@
 	// maxGrowRatio is the highest ratio of latency to base latency at which the limit grows.
 	maxGrowRatio = 1.05
 	// minShrinkRatio is the ratio of latency to base latency above which the limit shrinks.
-	minShrinkRatio = 1.1
+	minShrinkRatio = 1.07
 	// minShrinkFactor is the smallest factor of one decrease of the limit because of
 	// latency or queueing.
 	minShrinkFactor = 0.7
@@ -43,9 +43,6 @@
 	// recoveryShare is the share of the difference to the sustained limit by
 	// which one increase raises the limit.
 	recoveryShare = 0.25
-	// spareShare is the share of an upstream's free slots by which one report raises
-	// the limit. Other hosts may see the same slots.
-	spareShare = 0.25
 )
 
 // Adaptive is the concurrency limit of one upstream, in requests. Latencies are
@@ -198,15 +195,18 @@
 	a.windowCount = 0
 }
 
-// ObserveSpare raises the limit after a report that the upstream has free slots and
-// no queue, if inFlight requests of this host use up the limit and the last window
-// was not slowed. A limit that failures have reduced would otherwise hold back
-// requests from an idle upstream for as long as the windows take to raise it.
-func (a *Adaptive) ObserveSpare(free, inFlight int) {
+// ObserveSpare raises the limit after a report that the upstream has free slots and no
+// queue, and runs running requests, if inFlight requests of this host use up the limit
+// and the last window was not slowed. A limit that failures have reduced would otherwise
+// hold back requests from an idle upstream for as long as the windows take to raise it.
+// This host takes the share of the free slots that it has of the running requests,
+// because the other hosts see the same slots.
+func (a *Adaptive) ObserveSpare(free, running, inFlight int) {
 	if free <= 0 || a.slowed || inFlight < a.Limit() {
 		return
 	}
-	a.limit = min(a.ceiling, a.limit+spareShare*float64(free))
+	share := min(1, float64(inFlight)/float64(max(1, running)))
+	a.limit = min(a.ceiling, a.limit+share*float64(free))
 }
 
 func (a *Adaptive) grow() {
--- a/internal/limit/adaptive_test.go
+++ b/internal/limit/adaptive_test.go
@@ -110,21 +110,23 @@
 
 func TestSpareSlotsRaiseTheLimit(t *testing.T) {
 	cases := map[string]struct {
-		free, inFlight int
-		slowed         bool
-		want           int
+		free, running, inFlight int
+		slowed                  bool
+		want                    int
 	}{
-		"at the limit, half of the slots free": {free: 8, inFlight: 4, want: 6},
-		"below the limit":                      {free: 8, inFlight: 3, want: 4},
-		"no free slot":                         {free: 0, inFlight: 4, want: 4},
-		"answers have become slower":           {free: 8, inFlight: 4, slowed: true, want: 4},
-		"up to the ceiling":                    {free: 1000, inFlight: 4, want: 64},
+		"alone, half of the slots free":   {free: 8, running: 4, inFlight: 4, want: 12},
+		"one host of four":                {free: 8, running: 16, inFlight: 4, want: 6},
+		"report from before its requests": {free: 8, running: 0, inFlight: 4, want: 12},
+		"below the limit":                 {free: 8, running: 3, inFlight: 3, want: 4},
+		"no free slot":                    {free: 0, running: 4, inFlight: 4, want: 4},
+		"answers have become slower":      {free: 8, running: 4, inFlight: 4, slowed: true, want: 4},
+		"up to the ceiling":               {free: 1000, running: 4, inFlight: 4, want: 64},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			a := New(64)
 			a.slowed = tc.slowed
-			a.ObserveSpare(tc.free, tc.inFlight)
+			a.ObserveSpare(tc.free, tc.running, tc.inFlight)
 			if got := a.Limit(); got != tc.want {
 				t.Errorf("limit %d, want %d", got, tc.want)
 			}
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -22,6 +22,10 @@
 	engineQueueShare = 0.25
 	// serviceQueueShare is the longest acceptable queue on a service, as a share of its slots.
 	serviceQueueShare = 0.05
+	// minSpareShare is the share of a service's slots that must be free for a report to
+	// raise the limit. All hosts read the same report, and near full use they would
+	// raise their limits together and fill a queue.
+	minSpareShare = 0.125
 )
 
 // replica is this host's record of one upstream.
@@ -87,7 +91,7 @@
 // engine's queue, because its latency depends on the length of its answers. The
 // limit of a service follows its latency. But a host that has only seen the
 // service with a queue takes the queueing delay for normal latency, so a long
-// queue in the report lowers the limit too, and free slots without a queue raise it.
+// queue in the report lowers the limit too, and many free slots raise it.
 // A report without slots changes no limit.
 func (r *replica) loadReported(report engineapi.LoadReport, now time.Time) {
 	r.estimate.setReport(report, now)
@@ -98,7 +102,7 @@
 		r.limit.ObserveQueue(busy, r.view.InFlight())
 	case float64(report.Waiting) > serviceQueueShare*float64(report.Slots):
 		r.limit.ObserveOverload(report.Slots, report.Running+report.Waiting)
-	case report.Waiting == 0:
-		r.limit.ObserveSpare(report.Slots-report.Running, r.view.InFlight())
+	case report.Waiting == 0 && float64(report.Slots-report.Running) > minSpareShare*float64(report.Slots):
+		r.limit.ObserveSpare(report.Slots-report.Running, report.Running, r.view.InFlight())
 	}
 }
