routing: refuse the waiters of a pool that leaves the document

Cause: Balancer.Refresh dropped a pool but not its queue, so its waiters waited until their deadlines for a pool that no longer existed. Test: TestWaitersOfRemovedPoolAreRefused; before: deadline_exceeded after 1 min, now no_upstream, not run, at once.

--- a/internal/routing/balancer.go
+++ b/internal/routing/balancer.go
@@ -55,7 +55,7 @@
 		if ctx.Err() != nil {
 			return nil, deadlineError(ctx, req.Pool)
 		}
-		return nil, p.shedError(req.Class)
+		return nil, p.refusal(req.Class)
 	case <-ctx.Done():
 		p.cancelWaiter(w)
 		return nil, deadlineError(ctx, req.Pool)
@@ -66,11 +66,15 @@
 	return failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.NotRun, "no replica of pool %s had free capacity within the deadline", pool)
 }
 
+func noPoolError(pool string) error {
+	return failure.New(failure.NoUpstream, failure.NotRun, "pool %s is not in the deployment document", pool)
+}
+
 // pool returns the state of a pool, creating it at the first request.
 func (b *Balancer) pool(name string) (*pool, error) {
 	limits, ok := limitsOf(b.source.Current(), name)
 	if !ok {
-		return nil, failure.New(failure.NoUpstream, failure.NotRun, "pool %s is not in the deployment document", name)
+		return nil, noPoolError(name)
 	}
 	b.mu.Lock()
 	p, ok := b.pools[name]
@@ -100,19 +104,24 @@
 }
 
 // Refresh applies changes of the membership and of the document, and drops
-// pools that are no longer in the document.
+// pools that are no longer in the document, whose waiters it refuses.
 func (b *Balancer) Refresh() {
 	doc := b.source.Current()
 	b.mu.Lock()
 	pools := make([]*pool, 0, len(b.pools))
+	var removed []*pool
 	for name, p := range b.pools {
 		if _, ok := limitsOf(doc, name); !ok {
 			delete(b.pools, name)
+			removed = append(removed, p)
 			continue
 		}
 		pools = append(pools, p)
 	}
 	b.mu.Unlock()
+	for _, p := range removed {
+		p.close()
+	}
 	for _, p := range pools {
 		limits, _ := limitsOf(doc, p.name)
 		p.refresh(b.view.Upstreams(p.name), limits)
--- a/internal/routing/balancer_test.go
+++ b/internal/routing/balancer_test.go
@@ -353,3 +353,32 @@
 		}
 	})
 }
+
+// A pool leaves the document while a request waits in its queue. The request can't be
+// served any more and must not wait until its deadline.
+func TestWaitersOfRemovedPoolAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newFixture(t, 1, 10, app("a"))
+		req := Request{Pool: "app", Class: deployment.ClassInteractive}
+		held := b.mustReserve(req)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		refused := make(chan error, 1)
+		go func() {
+			_, err := b.Reserve(ctx, req)
+			refused <- err
+		}()
+		synctest.Wait()
+		b.mu.Lock()
+		delete(b.source.Current().Services, "app")
+		b.mu.Unlock()
+		start := time.Now()
+		b.Refresh()
+		err := <-refused
+		if e := failure.As(err); e.Kind != failure.NoUpstream || e.Outcome != failure.NotRun || time.Since(start) > 0 {
+			t.Errorf("after %s: %v (%s, %s), want NoUpstream and NotRun at once", time.Since(start), err, e.Kind, e.Outcome)
+		}
+		held.Done(Succeeded)
+		b.expectRefusal(t.Context(), req, failure.NoUpstream)
+	})
+}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -53,6 +53,7 @@
 	byPreference []*replica
 	queue        *queue
 	waitLimit    waitLimit
+	closed       bool      // whether the pool has left the deployment document
 	lastUsed     time.Time // when a request last asked for a reservation; at first, when the pool was created
 }
 
@@ -111,6 +112,9 @@
 func (p *pool) reserve(ctx context.Context, req *Request) (*reservation, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, noPoolError(p.name)
+	}
 	now := time.Now()
 	p.lastUsed = now
 	waiting := p.queue.class(req.Class)
@@ -143,10 +147,26 @@
 	return slices.ContainsFunc(p.byPreference, func(r *replica) bool { return r.view.Rollout > 0 })
 }
 
-// shedError returns the error for a waiter that was shed.
-func (p *pool) shedError(class deployment.Class) error {
+// close refuses the waiters of a pool that has left the document, and those to come.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, class := range []*fairQueue{p.queue.interactive, p.queue.rollout} {
+		for w := class.peek(); w != nil; w = class.peek() {
+			class.remove(w)
+			w.granted <- nil
+		}
+	}
+}
+
+// refusal returns the error for a waiter that was removed without a reservation.
+func (p *pool) refusal(class deployment.Class) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return noPoolError(p.name)
+	}
 	return p.queueFullError(class)
 }
 
