--- a/internal/claim/registry_test.go
+++ b/internal/claim/registry_test.go
@@ -284,6 +284,36 @@
 	})
 }
 
+// The store is down while a full batch is to be deleted. A sweep that fails must not be
+// repeated before the next one is due.
+func TestFailedSweepWaitsForTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		a := c.host("a", "a1")
+		for range sweepBatchSize {
+			dated := request(t, uuid.Must(uuid.NewV7()).String())
+			dated.Key.Issued = time.Now()
+			expect(t, a, dated, "claim")
+		}
+		time.Sleep(retention + sweepMargin + 2*time.Hour)
+		for range 20 {
+			c.table.faults = append(c.table.faults, down)
+		}
+		before := c.table.writes
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = a.runSweep(ctx) }()
+		time.Sleep(3 * sweepInterval)
+		if n := c.table.writes - before; n < 1 || n > 6 {
+			t.Errorf("%d writes in %s while the store is down, want one for each sweep", n, 3*sweepInterval)
+		}
+		time.Sleep(40 * sweepInterval)
+		if n, err := a.sweepOnce(t.Context()); n != 0 || err != nil {
+			t.Errorf("%d rows are left, %v", n, err)
+		}
+	})
+}
+
 // bookingsPerSecond is the rate of requests with home-bound keys that one host must sustain.
 const bookingsPerSecond = 100
 
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -37,14 +37,15 @@
 			if err != nil {
 				reg.log.Info("expired claims not deleted from the table", "error", err.Error())
 			}
-			if deleted < sweepBatchSize {
+			if err != nil || deleted < sweepBatchSize {
 				break
 			}
 		}
 	}
 }
 
-// sweepOnce deletes up to sweepBatchSize of the oldest expired rows and returns their number.
+// sweepOnce deletes up to sweepBatchSize of the oldest expired rows and returns their
+// number. After an error they may be deleted or not.
 func (reg *Registry) sweepOnce(ctx context.Context) (int, error) {
 	rows, err := reg.table.Scan(ctx, datedPrefix, "", sweepBatchSize)
 	if err != nil {
