lease: log and count a lost lease once

Cause: the fencing token of a lost lease was compared with that of no grant, so each later read was one more loss, and woke all that wait for Changed. Test: TestLostLeaseIsCountedOnce, 3 before, 1 now.

--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -120,8 +120,8 @@
 }
 
 // setGrant records the grant of a shard, or removes it if held is false. It
-// notifies Changed if held or the fencing token differs from the recorded grant, whose
-// token is zero if there is none, or if a renewal came after that grant had expired.
+// notifies Changed if held differs, if a held grant has another fencing token, or if a
+// renewal came after the recorded grant had expired.
 func (e *Elector) setGrant(grant Grant, held bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -133,7 +133,7 @@
 	}
 	now := time.Now()
 	expired := had && held && !before.ValidAt(now)
-	if had == held && before.Fence == grant.Fence && !expired {
+	if had == held && (!held || before.Fence == grant.Fence) && !expired {
 		return
 	}
 	close(e.changed)
--- a/internal/lease/elector_test.go
+++ b/internal/lease/elector_test.go
@@ -106,6 +106,24 @@
 	return c.holders()
 }
 
+func TestLostLeaseIsCountedOnce(t *testing.T) {
+	c := newCluster(t, 0, 1)
+	e := c.hosts[0].Elector
+	e.setGrant(Grant{Shard: "s", Fence: 7, Until: time.Now().Add(time.Minute)}, true)
+	changed := e.Changed()
+	for range 3 {
+		e.setGrant(Grant{Shard: "s", Fence: 7}, false)
+	}
+	if n := e.counters.lost.Get(); n != 1 {
+		t.Errorf("a lease that was lost once counts %d times", n)
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("the loss is not announced")
+	}
+}
+
 func TestShardsSpreadOverHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 6, 4)
