membership: keep back a leaving mark by incarnation

Cause: after a mark, another one of the same replica was kept back for 30 s, whatever its incarnation: a replica that restarted and left again within that time went on being used by the hosts whose list did not show it yet. Test: TestNextIncarnationIsMarkedToo, red before.

--- a/internal/membership/merged_view.go
+++ b/internal/membership/merged_view.go
@@ -33,12 +33,18 @@
 	hosts []platform.Member
 	// listedAt is the time of the last list; zero before the first.
 	listedAt time.Time
-	// markedAt holds when this host last published a leaving mark, by upstream id.
-	markedAt map[string]time.Time
+	// marked holds the last leaving mark that this host published, by upstream id.
+	marked map[string]publishedMark
 
 	pools atomic.Pointer[map[string][]Upstream]
 }
 
+// publishedMark is a leaving mark that this host has published.
+type publishedMark struct {
+	incarnation string
+	at          time.Time
+}
+
 // trackedMember is an upstream, with the time since which it is missing from lists.
 type trackedMember struct {
 	platform.Member
@@ -49,7 +55,7 @@
 
 // NewMergedView returns a View without members.
 func NewMergedView(peers peer.Exchange) *MergedView {
-	return &MergedView{peers: peers, members: make(map[string]trackedMember), markedAt: make(map[string]time.Time)}
+	return &MergedView{peers: peers, members: make(map[string]trackedMember), marked: make(map[string]publishedMark)}
 }
 
 // Upstreams implements View.
@@ -70,16 +76,18 @@
 
 // MarkLeaving implements View. The mark applies only to the upstream's current
 // incarnation: a restarted upstream gets work again. MarkLeaving has no effect for an
-// unknown upstream, or within half of leavingMarkTTL after the last mark by this host.
+// unknown upstream, or within half of leavingMarkTTL after this host marked the same
+// incarnation.
 func (v *MergedView) MarkLeaving(upstreamID string) {
 	v.mu.Lock()
 	member, ok := v.members[upstreamID]
-	fresh := time.Since(v.markedAt[upstreamID]) < leavingMarkTTL/2
+	last := v.marked[upstreamID]
+	fresh := last.incarnation == member.Incarnation && time.Since(last.at) < leavingMarkTTL/2
 	if !ok || fresh {
 		v.mu.Unlock()
 		return
 	}
-	v.markedAt[upstreamID] = time.Now()
+	v.marked[upstreamID] = publishedMark{incarnation: member.Incarnation, at: time.Now()}
 	v.mu.Unlock()
 	v.peers.Publish(peer.TopicLeaving, upstreamID, []byte(member.Incarnation), leavingMarkTTL)
 	v.Rebuild()
@@ -96,7 +104,7 @@
 	}
 	v.listedAt = listed
 	v.replaceMembers(list)
-	maps.DeleteFunc(v.markedAt, func(_ string, at time.Time) bool { return time.Since(at) > leavingMarkTTL })
+	maps.DeleteFunc(v.marked, func(_ string, m publishedMark) bool { return time.Since(m.at) > leavingMarkTTL })
 	v.mu.Unlock()
 	v.markListedLeaving(list)
 	v.Rebuild()
--- a/internal/membership/merged_view_test.go
+++ b/internal/membership/merged_view_test.go
@@ -109,6 +109,24 @@
 	})
 }
 
+// A replica leaves, restarts, and leaves again within half a minute.
+func TestNextIncarnationIsMarkedToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.NewNetwork()
+		a, b := newHost(network, "a", engine("old", platform.MemberLive)), newHost(network, "b", engine("old", platform.MemberLive))
+		for i, incarnation := range []string{"old", "new"} {
+			for _, h := range []host{a, b} {
+				h.members.list = []platform.Member{engine(incarnation, platform.MemberLive)}
+				h.poller.Poll(t.Context())
+			}
+			expect(t, incarnation+" started", b, map[string]bool{"e1": false})
+			a.MarkLeaving("e1")
+			expect(t, incarnation+" leaves", b, map[string]bool{"e1": true})
+			time.Sleep(time.Duration(i+1) * time.Second)
+		}
+	})
+}
+
 func TestLeavingMarkEndsUnlessSeenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost(peertest.NewNetwork(), "a", engine("i", platform.MemberLive))
