weights: announce an unchanged running version again before it expires

Cause: the version that an engine runs was announced only when it changed, and the announcement expires after 10 min; a host that started later knew no version until the next load. Test: TestRunningVersionIsAnnouncedAgain: version unknown to a host that starts after 15 min before, known now. One announcement an engine each 5 min.

--- a/internal/weights/watcher.go
+++ b/internal/weights/watcher.go
@@ -67,7 +67,9 @@
 	announced map[string]uint64
 	// replicas holds the version that each engine last reported, by engine id.
 	replicas map[string]running
-	rounds   int
+	// runningAnnounced is when this host last announced an engine's version, by engine id.
+	runningAnnounced map[string]time.Time
+	rounds           int
 }
 
 var _ View = (*Watcher)(nil)
@@ -75,15 +77,16 @@
 // NewWatcher returns a Watcher without any known versions; Run fills it.
 func NewWatcher(log logr.Logger, docs deployment.Source, store platform.Weights, peers exchange, leases lease.Holder) *Watcher {
 	return &Watcher{
-		log:       log.WithName("weights"),
-		source:    docs,
-		store:     store,
-		peers:     peers,
-		leases:    leases,
-		newest:    map[string]uint64{},
-		rates:     map[string]PublishRate{},
-		announced: map[string]uint64{},
-		replicas:  map[string]running{},
+		log:              log.WithName("weights"),
+		source:           docs,
+		store:            store,
+		peers:            peers,
+		leases:           leases,
+		newest:           map[string]uint64{},
+		rates:            map[string]PublishRate{},
+		announced:        map[string]uint64{},
+		replicas:         map[string]running{},
+		runningAnnounced: map[string]time.Time{},
 	}
 }
 
@@ -236,13 +239,13 @@
 	return false
 }
 
-// observe records the version that an engine reported and announces it to peers
-// if it changed.
+// observe records the version that an engine reported and announces it to peers if it
+// changed, or if the last announcement by this host would expire soon.
 func (w *Watcher) observe(upstreamID string, version uint64, at time.Time) {
 	before, known := w.Running(upstreamID)
 	r := running{Version: version, AtNanos: at.UnixNano()}
 	w.recordRunning(upstreamID, r)
-	if known && before == version {
+	if !w.runningDue(upstreamID, !known || before != version) {
 		return
 	}
 	value, err := json.Marshal(r)
@@ -251,3 +254,15 @@
 	}
 	w.peers.Publish(peer.TopicWeights, upstreamID, value, runningTTL)
 }
+
+// runningDue reports whether an engine's version is to be announced: it changed, or half
+// of runningTTL has passed. It then records the present time as that of the announcement.
+func (w *Watcher) runningDue(upstreamID string, changed bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !changed && time.Since(w.runningAnnounced[upstreamID]) < runningTTL/2 {
+		return false
+	}
+	w.runningAnnounced[upstreamID] = time.Now()
+	return true
+}
