drain: wait for streams that were accepted right before the end

Ruled out: callerapi hands its one count on to the writer; home has no streams. Change: Drain.Extend counts an answer that goes on after its handler, always.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -62,7 +62,15 @@
 	return true
 }
 
-// End ends the count of a request. Call it when the answer is complete.
+// Extend counts a request that Begin counted once more, for an answer that goes on after
+// its handler has returned. It also counts while new requests are refused.
+func (d *Drain) Extend() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight++
+}
+
+// End ends one count of Begin or Extend. Call it when the answer is complete.
 func (d *Drain) End() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
