--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -73,7 +73,7 @@
 	// changed is closed and replaced when jobs changes.
 	changed chan struct{}
 	// waitingReaders is the number of callers of Results that wait for a change, and
-	// lastWait the time at which the last one stopped waiting.
+	// lastWait the time at which one last began or stopped waiting.
 	waitingReaders int
 	lastWait       time.Time
 
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -91,6 +91,7 @@
 	return true
 }
 
+// countReader adds to the number of waiting readers.
 func (m *Manager) countReader(by int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/weights/watcher.go
+++ b/internal/weights/watcher.go
@@ -245,7 +245,7 @@
 	before, known := w.Running(upstreamID)
 	r := running{Version: version, AtNanos: at.UnixNano()}
 	w.recordRunning(upstreamID, r)
-	if !w.runningDue(upstreamID, !known || before != version) {
+	if !w.announceRunningDue(upstreamID, !known || before != version) {
 		return
 	}
 	value, err := json.Marshal(r)
@@ -255,9 +255,9 @@
 	w.peers.Publish(peer.TopicWeights, upstreamID, value, runningTTL)
 }
 
-// runningDue reports whether an engine's version is to be announced: it changed, or half
+// announceRunningDue reports whether an engine's version is to be announced: it changed, or half
 // of runningTTL has passed. It then records the present time as that of the announcement.
-func (w *Watcher) runningDue(upstreamID string, changed bool) bool {
+func (w *Watcher) announceRunningDue(upstreamID string, changed bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !changed && time.Since(w.runningAnnounced[upstreamID]) < runningTTL/2 {
