tests: read the owner row and build the lenient client in one place

Four tests of internal/job decoded the owner row each by itself (cluster.ownerRow), four of internal/upstream spelled out the same client (newLenientClient), and TestNextIncarnationIsMarkedToo computed a sleep where a second does. No check, bound or expectation changes; with the check of the incarnation taken out the last one is red as before. No code outside tests.

--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -374,13 +374,20 @@
 	}
 }
 
+// ownerRow returns the owner row of a job in the store, and its version.
+func (c *cluster) ownerRow(id string) (owner OwnerRow, version uint64, err error) {
+	row := c.rows.Row(ownerRowID(id))
+	err = json.Unmarshal(row.Value, &owner)
+	return owner, row.Version, err
+}
+
 // firstListing waits until the store shows the first listed results of a job and returns
 // that time, to the millisecond. A run can list all its results and end in one instant,
 // so only its row shows each listing.
 func (c *cluster) firstListing(id string, within time.Duration) time.Time {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		var row OwnerRow
-		if err := json.Unmarshal(c.rows.Row(ownerRowID(id)).Value, &row); err != nil {
+		row, _, err := c.ownerRow(id)
+		if err != nil {
 			c.t.Errorf("owner row of %s: %v", id, err)
 			break
 		}
@@ -395,8 +402,8 @@
 // ownerAndOther returns the host that owns a job and another live one.
 func (c *cluster) ownerAndOther(id string) (owner, other *host) {
 	c.t.Helper()
-	var row OwnerRow
-	if err := json.Unmarshal(c.rows.Row(ownerRowID(id)).Value, &row); err != nil {
+	row, _, err := c.ownerRow(id)
+	if err != nil {
 		c.t.Fatal(err)
 	}
 	for _, h := range c.hosts {
--- a/internal/job/commit_test.go
+++ b/internal/job/commit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -72,9 +71,8 @@
 	c.accept(a, s)
 	time.Sleep(after)
 	// A write of an earlier run of this process takes effect late.
-	row := c.rows.Row(ownerRowID(s.ID))
-	var owner OwnerRow
-	if err := json.Unmarshal(row.Value, &owner); err != nil {
+	owner, version, err := c.ownerRow(s.ID)
+	if err != nil {
 		t.Fatal(err)
 	}
 	events := make([]Event, testEvents)
@@ -83,7 +81,7 @@
 	}
 	late := completed(events, "signature of score "+s.Rollouts[3].ID, "score "+s.Rollouts[3].ID)
 	late.ID = s.Rollouts[3].ID
-	tx, _, _, err := listTransaction(s.ID, row.Version, owner, []Result{late})
+	tx, _, _, err := listTransaction(s.ID, version, owner, []Result{late})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/job/notify_test.go
+++ b/internal/job/notify_test.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,11 +38,11 @@
 func TestLateAcceptanceStartsNothing(t *testing.T) {
 	withCluster(t, func(c *cluster) {
 		s, owner, other := c.startWithJob(8, "a", "a", "b")
-		row := c.rows.Row(ownerRowID(s.ID))
-		late := Acceptance{ID: s.ID, Version: row.Version, Spec: s}
-		if err := json.Unmarshal(row.Value, &late.Owner); err != nil {
+		row, version, err := c.ownerRow(s.ID)
+		if err != nil {
 			t.Fatal(err)
 		}
+		late := Acceptance{ID: s.ID, Owner: row, Version: version, Spec: s}
 		time.Sleep(300 * time.Millisecond)
 		owner.rows.SetDown(true)
 		c.waitForResults(other, s, 6*time.Second)
--- a/internal/membership/merged_view_test.go
+++ b/internal/membership/merged_view_test.go
@@ -114,7 +114,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := peertest.NewNetwork()
 		a, b := newHost(network, "a", engine("old", platform.MemberLive)), newHost(network, "b", engine("old", platform.MemberLive))
-		for i, incarnation := range []string{"old", "new"} {
+		for _, incarnation := range []string{"old", "new"} {
 			for _, h := range []host{a, b} {
 				h.members.list = []platform.Member{engine(incarnation, platform.MemberLive)}
 				h.poller.Poll(t.Context())
@@ -122,7 +122,7 @@
 			expect(t, incarnation+" started", b, map[string]bool{"e1": false})
 			a.MarkLeaving("e1")
 			expect(t, incarnation+" leaves", b, map[string]bool{"e1": true})
-			time.Sleep(time.Duration(i+1) * time.Second)
+			time.Sleep(time.Second)
 		}
 	})
 }
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -61,6 +61,12 @@
 	}
 }
 
+// newLenientClient returns a client that also accepts a body that ends when the upstream
+// closes the connection.
+func newLenientClient(w *fakeUpstream) *Client {
+	return NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+}
+
 // Bytes that go on until the client closes must cost no more than a bounded amount of
 // memory, and must not look like an answer.
 func TestAnswersWithoutEndAreCut(t *testing.T) {
@@ -69,7 +75,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var taken atomic.Int64
 				w := &fakeUpstream{serve: endless(tc.begin, tc.repeat, 0, &taken)}
-				client := NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+				client := newLenientClient(w)
 				defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
 				defer client.pool.closeIdle()
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -95,7 +101,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var taken atomic.Int64
 				w := &fakeUpstream{serve: endless(tc.begin, tc.repeat, time.Second, &taken)}
-				client := NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+				client := newLenientClient(w)
 				defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
 				defer client.pool.closeIdle()
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
@@ -123,7 +129,7 @@
 				var taken atomic.Int64
 				copied := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
 				w := &fakeUpstream{serve: endless("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", copied, pause, &taken)}
-				client := NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+				client := newLenientClient(w)
 				defer time.Sleep(2 * time.Second)
 				defer client.pool.closeIdle()
 				for range 5 {
@@ -169,7 +175,7 @@
 						}
 					}
 				}}
-				client := NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
+				client := newLenientClient(w)
 				defer client.pool.closeIdle()
 				for n := 1; n <= 3; n++ {
 					req, resp := post()
