--- a/internal/filter/crashguard/crashguard.go
+++ b/internal/filter/crashguard/crashguard.go
@@ -119,23 +119,9 @@
 		f.registry.RecordSuccess(fingerprint)
 		return
 	}
-	if !connectionBroke(err) || !f.prober.Crashed(ctx, r.Upstream) {
+	if !quarantine.ConnectionBroke(err) || !f.prober.Crashed(ctx, r.Upstream) {
 		return
 	}
 	r.Crashed = true
 	f.registry.RecordCrash(ctx, fingerprint, r.Upstream, trial)
 }
-
-// connectionBroke reports whether an attempt failed because its connection
-// broke after a part of the request was sent. A timeout does not count.
-func connectionBroke(err error) bool {
-	e := failure.As(err)
-	if e.Outcome == failure.NotRun {
-		return false
-	}
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return false
-	}
-	return e.Kind == failure.UpstreamFailed || e.Kind == failure.IncompleteAnswer
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
+	"github.com/sapphirehatch/sapphirehatch/internal/quarantine"
 	"github.com/sapphirehatch/sapphirehatch/internal/routes"
 	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
@@ -27,9 +28,21 @@
 	Exchange(ctx context.Context, target fleet.Replica, req *fasthttp.Request, resp *fasthttp.Response, once bool) error
 }
 
+// CrashGuard refuses requests that crash the replicas that run them; see quarantine.Guard.
+type CrashGuard interface {
+	// Admit returns an error of kind Quarantined and outcome NotRun if a request is refused.
+	Admit(f quarantine.Fingerprint) error
+	// Answered is called when a replica has answered a request.
+	Answered(f quarantine.Fingerprint)
+	// Failed is called when an attempt has failed. It may wait shortly until it is known
+	// whether the replica has crashed.
+	Failed(ctx context.Context, id string, f quarantine.Fingerprint, r fleet.Replica, err error)
+}
+
 // Gateway forwards requests. It is safe for concurrent use.
 type Gateway struct {
 	fleet     *fleet.Fleet
+	guard     CrashGuard
 	exchanger Exchanger
 	domain    string
 	events    *telemetry.Recorder
@@ -38,8 +51,8 @@
 
 // New returns a gateway of a host. domain is the failure domain of the host; events
 // may be nil.
-func New(f *fleet.Fleet, exchanger Exchanger, domain string, events *telemetry.Recorder, log logr.Logger) *Gateway {
-	return &Gateway{fleet: f, exchanger: exchanger, domain: domain, events: events, log: log}
+func New(f *fleet.Fleet, exchanger Exchanger, guard CrashGuard, domain string, events *telemetry.Recorder, log logr.Logger) *Gateway {
+	return &Gateway{fleet: f, exchanger: exchanger, guard: guard, domain: domain, events: events, log: log}
 }
 
 // Call is a request of a caller.
@@ -52,6 +65,9 @@
 	ConfigVersion uint64
 	Route         *routes.Route
 	Request       *fasthttp.Request
+	// Fingerprint identifies the content of the request at the CrashGuard. Zero exempts
+	// the request, for example a call on behalf of a job, which stays owed.
+	Fingerprint quarantine.Fingerprint
 	// Deadline is when the caller stops waiting for the answer.
 	Deadline time.Time
 }
@@ -136,7 +152,7 @@
 	giveUp := time.Now().Add(slotTimeout(f.call.Route))
 	for {
 		if f.inFlight == 0 && !f.startAttempt(ctx) {
-			if f.exhausted() {
+			if f.exhausted() || failure.IsKind(f.err, failure.Quarantined) {
 				return f.finalResult(ctx)
 			}
 			if !f.waitForSlot(ctx, giveUp) {
@@ -167,6 +183,10 @@
 	if f.exhausted() {
 		return false
 	}
+	if err := f.guard.Admit(f.call.Fingerprint); err != nil {
+		f.err = err
+		return false
+	}
 	want := fleet.Requirements{Service: f.service, Request: placement.Request{Domain: f.domain, Avoid: f.avoid, AllowQueue: true}}
 	target, err := f.fleet.Reserve(want)
 	if err != nil {
@@ -190,6 +210,11 @@
 		traced := telemetry.WithFirstByteHook(ctx, func() { f.events.FirstByte(f.call.Kind, time.Since(began)) })
 		err := f.exchanger.Exchange(traced, target, req, resp, f.call.Route.Kind != routes.Idempotent)
 		f.fleet.Release(target.ID)
+		if err == nil {
+			f.guard.Answered(f.call.Fingerprint)
+		} else {
+			f.guard.Failed(ctx, f.call.ID, f.call.Fingerprint, target, err)
+		}
 		f.results <- attemptResult{target: target, resp: resp, err: err, took: time.Since(began)}
 	}()
 	return true
@@ -297,6 +322,8 @@
 			kind = failure.DeadlineExceeded
 		}
 		return nil, failure.Wrap(cmp.Or(f.err, ctx.Err()), kind, failure.Unknown, "no replica of %s answered", f.service)
+	case failure.IsKind(f.err, failure.Quarantined):
+		return nil, f.err
 	}
 	return nil, failure.Wrap(cmp.Or(f.err, ctx.Err()), failure.QueueFull, failure.NotRun, "no replica of service %s accepted the request", f.service).WithRetryAfter(busyRetryAfter)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/quarantine"
 	"github.com/sapphirehatch/sapphirehatch/internal/routes"
 )
 
@@ -32,6 +33,14 @@
 	cancelled int
 }
 
+// noGuard is a CrashGuard that refuses nothing.
+type noGuard struct{}
+
+func (noGuard) Admit(quarantine.Fingerprint) error { return nil }
+func (noGuard) Answered(quarantine.Fingerprint)    {}
+func (noGuard) Failed(context.Context, string, quarantine.Fingerprint, fleet.Replica, error) {
+}
+
 func (r *fakeReplicas) Exchange(ctx context.Context, target fleet.Replica, _ *fasthttp.Request, resp *fasthttp.Response, _ bool) error {
 	r.mu.Lock()
 	r.sent = append(r.sent, target.ID)
@@ -99,7 +108,7 @@
 				for id := range test.responses {
 					all.Put(fleet.Replica{ID: id, Service: "s", Address: id, Slots: 4})
 				}
-				g := New(all, fake, "", nil, logr.Discard())
+				g := New(all, fake, noGuard{}, "", nil, logr.Discard())
 				route := &routes.Route{Name: "r", Kind: test.kind, Timeout: 1500 * ms, LatencyObjective: 100 * ms, MaxAttempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}}}
 				resp := new(fasthttp.Response)
 				began := time.Now()
@@ -128,7 +137,7 @@
 
 func TestServiceWithoutReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := New(fleet.New(logr.Discard()), &fakeReplicas{}, "", nil, logr.Discard())
+		g := New(fleet.New(logr.Discard()), &fakeReplicas{}, noGuard{}, "", nil, logr.Discard())
 		route := &routes.Route{Kind: routes.Idempotent, LatencyObjective: 100 * time.Millisecond, MaxAttempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}}}
 		began := time.Now()
 		_, err := g.Handle(context.Background(), Call{Route: route, Request: new(fasthttp.Request), Deadline: began.Add(time.Second)}, new(fasthttp.Response))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,7 +61,7 @@
 	s := &streamCall{Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), sink: sink, after: after, avoid: map[string]bool{}, attemptLog: attemptLog{began: time.Now()}}
 	giveUp := time.Now().Add(slotTimeout(call.Route))
 	for {
-		target, err := g.fleet.Reserve(fleet.Requirements{Service: s.service, Request: placement.Request{Domain: g.domain, Avoid: s.avoid, AllowQueue: true}})
+		target, err := s.reserve()
 		if err == nil {
 			err = s.attempt(ctx, streamer, target, resp)
 			if err == nil {
@@ -81,6 +81,14 @@
 	}
 }
 
+// reserve chooses the replica of the next attempt.
+func (s *streamCall) reserve() (fleet.Replica, error) {
+	if err := s.guard.Admit(s.call.Fingerprint); err != nil {
+		return fleet.Replica{}, err
+	}
+	return s.fleet.Reserve(fleet.Requirements{Service: s.service, Request: placement.Request{Domain: s.domain, Avoid: s.avoid, AllowQueue: true}})
+}
+
 // attempt streams from one replica and records the result.
 func (s *streamCall) attempt(ctx context.Context, streamer Streamer, target fleet.Replica, resp *fasthttp.Response) error {
 	defer s.fleet.Release(target.ID)
@@ -123,8 +131,12 @@
 	if err == nil {
 		s.attemptLog.end(target.ID, "whole")
 		s.fleet.RecordSuccess(target.ID)
+		s.guard.Answered(s.call.Fingerprint)
 		return nil
 	}
+	if s.sinkErr == nil {
+		s.guard.Failed(ctx, s.call.ID, s.call.Fingerprint, target, err)
+	}
 	e := failure.As(err)
 	s.attemptEnded(&s.attemptLog, s.call.ID, target, time.Since(began), e, "after", s.after)
 	switch {
@@ -147,6 +159,10 @@
 		return failure.Wrap(err, failure.Internal, failure.Unknown, "the caller stopped reading the stream")
 	case ctx.Err() != nil || !time.Now().Before(s.call.Deadline):
 		return failure.Wrap(err, failure.DeadlineExceeded, s.combinedOutcome(), "the stream was not complete before the deadline")
+	case e.Kind == failure.Quarantined && s.attempts == 0:
+		return err
+	case e.Kind == failure.Quarantined:
+		return failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "the stream broke off")
 	case e.Outcome == failure.NotRun && !s.begun:
 		if time.Now().After(giveUp) && s.attempts == 0 {
 			return failure.Wrap(err, failure.QueueFull, failure.NotRun, "no replica of service %s accepted the request", s.service).WithRetryAfter(busyRetryAfter)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -91,7 +91,7 @@
 				for id := range slices.Values([]string{"a", "b", "c"}) {
 					all.Put(fleet.Replica{ID: id, Service: "s", Address: id, Slots: 4})
 				}
-				g := New(all, nil, "", nil, logr.Discard())
+				g := New(all, nil, noGuard{}, "", nil, logr.Discard())
 				route := &routes.Route{Name: "r", Kind: routes.Idempotent, Resumable: test.resumable, Timeout: 1500 * ms, LatencyObjective: 100 * ms,
 					MaxAttempts: 3, Shares: []routes.Share{{Service: "s", Weight: 1}}}
 				began := time.Now()
--- a/internal/quarantine/request_record.go
+++ b/internal/quarantine/request_record.go
@@ -13,17 +13,18 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 )
 
-// Fingerprint identifies requests with the same content to the same pool.
+// Fingerprint identifies requests with the same content to the same pool or host.
 type Fingerprint uint64
 
-// FingerprintOf hashes a pool's name and a request's method, target and body.
-func FingerprintOf(pool string, req *fasthttp.Request) Fingerprint {
+// FingerprintOf hashes a request's method, target and body, and the name of the pool or
+// host to which the target belongs. It is never zero.
+func FingerprintOf(scope string, req *fasthttp.Request) Fingerprint {
 	digest := xxhash.New()
-	for _, part := range [][]byte{[]byte(pool), req.Header.Method(), req.URI().RequestURI(), req.Body()} {
+	for _, part := range [][]byte{[]byte(scope), req.Header.Method(), req.URI().RequestURI(), req.Body()} {
 		_, _ = digest.Write(binary.LittleEndian.AppendUint32(nil, uint32(len(part))))
 		_, _ = digest.Write(part)
 	}
-	return Fingerprint(digest.Sum64())
+	return Fingerprint(max(1, digest.Sum64()))
 }
 
 // key returns the fingerprint's key in the peer exchange.
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -70,6 +70,8 @@
 	// JobRetention is how long a job and its results are kept after the job was accepted.
 	// Default 3m.
 	JobRetention time.Duration `ini:"job_retention" validate:"gt=0"`
+	// QuarantineTerm is how long a request that has crashed replicas is refused. Default 10m.
+	QuarantineTerm time.Duration `ini:"quarantine_term" validate:"gt=0"`
 }
 
 // RowsSwap is the [swap] section, on the loading of weight versions by engines.
@@ -88,6 +90,8 @@
 			LeaseTerm:    3 * time.Second,
 			StopGrace:    8 * time.Second,
 			JobRetention: 3 * time.Minute,
+
+			QuarantineTerm: 10 * time.Minute,
 		},
 	}
 }
