--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -165,7 +165,7 @@
 		steps    = 150
 	)
 	store := platformtest.NewRows()
-	var hosts []ledgerHost
+	hosts := make([]ledgerHost, 0, hostsN)
 	for n := range hostsN {
 		hosts = append(hosts, startLedger(t, store, fmt.Sprintf("h%d", n)))
 	}
