--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/samber/lo"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/membership"
@@ -113,6 +114,9 @@
 	latencyAt time.Time
 	// lastEventAt is when the replica last sent an event of a stream.
 	lastEventAt time.Time
+
+	// limit is nil unless the replica names a limit.
+	limit *namedLimit
 }
 
 // Fleet is the set of replicas known to this host. It is safe for concurrent use.
@@ -121,9 +125,13 @@
 
 	// hasIdleConnection reports whether an idle connection to an address exists; may be nil.
 	hasIdleConnection func(address string) bool
+	// shares may be nil.
+	shares ShareSource
 
 	mu      sync.Mutex
 	members map[string]*member
+	// demand is this host's demand, by service.
+	demand map[string]*demandMeter
 	// changed is the channel of Changed; notify closes and replaces it.
 	changed chan struct{}
 }
@@ -136,7 +144,7 @@
 
 // New returns an empty fleet.
 func New(log logr.Logger) *Fleet {
-	return &Fleet{log: log, members: map[string]*member{}, changed: make(chan struct{})}
+	return &Fleet{log: log, members: map[string]*member{}, demand: map[string]*demandMeter{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed when a slot may have become free, or a
@@ -273,7 +281,8 @@
 // Reserve chooses a replica and counts a request in flight there until Release is
 // called. With LimitUnanswered the request also counts as unanswered until RecordAnswer
 // is called. The error has kind NoUpstream if the service has no replica, and kind
-// QueueFull if no replica can take the request now.
+// QueueFull if no replica can take the request now. The latter has a RetryAfter if the
+// limits that the replicas name allow none before.
 func (f *Fleet) Reserve(want Requirements) (Replica, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -284,9 +293,14 @@
 	}
 	chosen := placement.Choose(want.Request, replicas, now)
 	if chosen < 0 {
-		return Replica{}, failure.New(failure.QueueFull, failure.NotRun, "no replica of service %s has a free slot", want.Service)
+		return Replica{}, failure.New(failure.QueueFull, failure.NotRun, "no replica of service %s has a free slot", want.Service).
+			WithRetryAfter(f.limitWait(members, now))
 	}
 	m := members[chosen]
+	f.meter(want.Service).add(now)
+	if m.limit != nil {
+		m.limit.Take(now)
+	}
 	r := m.snapshot()
 	r.Estimate = LoadEstimate{InFlight: m.inFlight, OtherInFlight: replicas[chosen].OtherInFlight, Slowdown: replicas[chosen].Slowdown}
 	if !m.reportedAt.IsZero() {
@@ -324,6 +338,9 @@
 	for i, m := range members {
 		replicas[i] = m.placementReplica(want.Model, median, now)
 		replicas[i].RingDistance = ring[m.ID]
+		if wait := f.limitedFor(m, now); wait > 0 {
+			replicas[i].RetryAt = lo.Latest(replicas[i].RetryAt, now.Add(wait))
+		}
 		replicas[i].HasIdleConnection = f.hasIdleConnection != nil && f.hasIdleConnection(m.Address)
 	}
 	return members, replicas
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -300,11 +300,20 @@
 	g.fleet.RecordFailure(id)
 }
 
-// waitForSlot waits until the next try to reserve a slot. It reports false if giveUp
-// has passed or ctx has ended.
+// retryAfterOf returns the time after which a reservation that failed with err may
+// succeed; zero if not known.
+func retryAfterOf(err error) time.Duration {
+	if err == nil {
+		return 0
+	}
+	return failure.As(err).RetryAfter
+}
+
+// waitForSlot waits until the next try to reserve a slot. It reports false if no slot
+// becomes free before giveUp or ctx has ended.
 func (f *forwardCall) waitForSlot(ctx context.Context, giveUp time.Time) bool {
 	left := time.Until(giveUp)
-	if left <= 0 {
+	if left <= 0 || retryAfterOf(f.err) > left {
 		return false
 	}
 	return pause.For(ctx, min(left, slotRetryInterval))
@@ -325,5 +334,7 @@
 	case failure.IsKind(f.err, failure.Quarantined):
 		return nil, f.err
 	}
-	return nil, failure.Wrap(cmp.Or(f.err, ctx.Err()), failure.QueueFull, failure.NotRun, "no replica of service %s accepted the request", f.service).WithRetryAfter(busyRetryAfter)
+	f.fleet.RecordUnmet(f.service)
+	return nil, failure.Wrap(cmp.Or(f.err, ctx.Err()), failure.QueueFull, failure.NotRun, "no replica of service %s accepted the request", f.service).
+		WithRetryAfter(max(busyRetryAfter, retryAfterOf(f.err)))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -164,8 +164,10 @@
 	case e.Kind == failure.Quarantined:
 		return failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "the stream broke off")
 	case e.Outcome == failure.NotRun && !s.begun:
-		if time.Now().After(giveUp) && s.attempts == 0 {
-			return failure.Wrap(err, failure.QueueFull, failure.NotRun, "no replica of service %s accepted the request", s.service).WithRetryAfter(busyRetryAfter)
+		if time.Until(giveUp) < e.RetryAfter && s.attempts == 0 {
+			s.fleet.RecordUnmet(s.service)
+			return failure.Wrap(err, failure.QueueFull, failure.NotRun, "no replica of service %s accepted the request", s.service).
+				WithRetryAfter(max(busyRetryAfter, e.RetryAfter))
 		}
 	case !s.call.Route.Resumable || s.attempts >= max(1, s.call.Route.MaxAttempts):
 		return failure.Wrap(err, failure.UpstreamFailed, s.combinedOutcome(), "the stream broke off")
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -76,10 +76,13 @@
 	}
 	full := map[need]bool{}
 	left := 0
+	waits := map[string]int{}
+	defer func() { m.fleet.RecordWaiting(waits) }()
 	for _, w := range waiting {
 		c := candidates[w.Index]
 		want := c.requirements(m, time.Now())
 		n := need{want.Service, want.Model, want.MinVersion, want.Version}
+		waits[want.Service]++
 		if full[n] && len(c.task.avoid) == 0 {
 			left++
 			continue
@@ -90,6 +93,7 @@
 			left++
 			continue
 		}
+		waits[want.Service]--
 		c.run.startAttempt(c, target)
 	}
 	return left
--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -31,6 +31,8 @@
 	rows   platform.RowStore
 	roster *Roster
 	log    logr.Logger
+	// demand may be nil.
+	demand func() map[string]float64
 
 	// writing is held while the row is written.
 	writing sync.Mutex
@@ -49,6 +51,9 @@
 	return &Heartbeat{rows: rows, roster: roster, log: log, self: self}
 }
 
+// SetDemand sets the function that returns Host.Demand. Call it before Run.
+func (h *Heartbeat) SetDemand(demand func() map[string]float64) { h.demand = demand }
+
 // Self returns this host as in its last heartbeat.
 func (h *Heartbeat) Self() Host {
 	h.mu.Lock()
@@ -106,6 +111,9 @@
 	factor := h.roster.IntervalFactor()
 	h.mu.Lock()
 	h.self.Sequence++
+	if h.demand != nil {
+		h.self.Demand = h.demand()
+	}
 	// The row announces a longer interval before it applies.
 	h.self.IntervalFactor = 0
 	if factor > 1 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,6 +79,9 @@
 	Sequence uint64 `json:"beat"`
 	// IntervalFactor multiplies the host's heartbeat interval; zero means 1.
 	IntervalFactor float64 `json:"stretch,omitempty"`
+	// Demand is the host's demand for services whose replicas name limits, in requests
+	// per second.
+	Demand map[string]float64 `json:"demand,omitempty"`
 }
 
 // scaled returns a time, which is given for the usual heartbeat interval, scaled to
@@ -245,6 +248,20 @@
 	return hosts
 }
 
+// Demand returns the demand of each live host for a service; zero for those that announce
+// none.
+func (r *Roster) Demand(service string) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	demand := make(map[string]float64, len(r.entries))
+	for id, e := range r.entries {
+		if !r.dead[id] {
+			demand[id] = e.host.Demand[service]
+		}
+	}
+	return demand
+}
+
 // ExpiredRows returns the rows that have not changed for keepRowFor, as checks of
 // the transactions that delete them.
 func (r *Roster) ExpiredRows() []platform.RowCheck {
