gateway: don't end a stream with the error that answers its resumption

What callers saw (a report of operators, shown here): a stream breaks off, the next replica answers 500, and the caller's part of the stream ends as if it were complete.

Cause: Stream took every answer that was read whole for the end, also one that is no stream.

The error's text never reached the stream.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -108,8 +108,9 @@
 	s.attempts++
 	s.avoid[target.ID] = true
 	s.attemptLog.begin(target.ID)
-	began, seen := time.Now(), false
+	began, streamed, seen := time.Now(), false, false
 	err := streamer.StreamEvents(ctx, target, req, resp, s.after, func(header *fasthttp.ResponseHeader) {
+		streamed = true
 		if !s.begun {
 			s.begun = true
 			s.sink.Begin(header)
@@ -128,6 +129,9 @@
 		s.sinkErr = s.sink.Event(raw)
 		return s.sinkErr
 	})
+	if err == nil && s.begun && !streamed {
+		err = failure.New(failure.UpstreamFailed, failure.Ran, "replica %s answered with status %d instead of the rest of the stream", target.ID, resp.StatusCode())
+	}
 	if err == nil {
 		s.attemptLog.end(target.ID, "whole")
 		s.fleet.RecordSuccess(target.ID)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -16,7 +16,8 @@
 )
 
 // streamAttempt is the result of one attempt: the events up to a number, and then
-// the end of the stream or an error.
+// the end of the stream or an error. An attempt without events and error is an answer
+// that is not a stream.
 type streamAttempt struct {
 	upTo int
 	err  error
@@ -28,7 +29,7 @@
 	sent int
 }
 
-func (p *fakeStreamer) StreamEvents(ctx context.Context, _ fleet.Replica, _ *fasthttp.Request, _ *fasthttp.Response, after int,
+func (p *fakeStreamer) StreamEvents(ctx context.Context, _ fleet.Replica, _ *fasthttp.Request, resp *fasthttp.Response, after int,
 	begin func(*fasthttp.ResponseHeader), event func(int, []byte) error,
 ) error {
 	next := p.list[min(p.sent, len(p.list)-1)]
@@ -40,6 +41,8 @@
 	}
 	if next.upTo > 0 {
 		begin(new(fasthttp.ResponseHeader))
+	} else if next.err == nil {
+		resp.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
 	for id := after + 1; id <= next.upTo; id++ {
 		if err := event(id, []byte("event")); err != nil {
@@ -77,6 +80,8 @@
 		{"refused and whole", false, []streamAttempt{{0, errRefused}, {4, nil}}, 4, "", 100 * ms},
 		{"resumed", true, []streamAttempt{{2, errBroken}, {4, nil}}, 4, "", 100 * ms},
 		{"resumed after a refusal", true, []streamAttempt{{2, errBroken}, {0, errRefused}, {4, nil}}, 4, "", 100 * ms},
+		{"broken off, and the next replica answers with an error", true, []streamAttempt{{2, errBroken}, {0, nil}, {4, nil}}, 4, "", 100 * ms},
+		{"broken off, and all others answer with an error", true, []streamAttempt{{2, errBroken}, {0, nil}}, 2, failure.Unknown, 1500 * ms},
 		{"broken off, not resumable", false, []streamAttempt{{2, errBroken}}, 2, failure.Unknown, 50 * ms},
 		{"broken off before its first event, then refused", true, []streamAttempt{{0, errBroken}, {0, errRefused}}, 0, failure.Unknown, 1500 * ms},
 		{"broken off before its first event, then not dialed", true, []streamAttempt{{0, errBroken}, {0, errDial}}, 0, failure.Unknown, 1500 * ms},
