fleet: send nothing more to a replica whose answer says that it leaves (DRAIN)

What replicas saw: requests went on to a replica that had said in its answers (Server-Leaving) that it leaves, for as long as discovery showed it as ready.

Cause: nothing read the field.

Why this works: the mark belongs to the incarnation and outlives the entry, so an entry that is behind or comes back doesn't end it; a restart of the replica does.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -117,6 +117,8 @@
 
 	// limit is nil unless the replica names a limit.
 	limit *namedLimit
+	// leaving is true once an answer said that the replica leaves; see MarkLeaving.
+	leaving bool
 }
 
 // Fleet is the set of replicas known to this host. It is safe for concurrent use.
@@ -132,6 +134,8 @@
 	members map[string]*member
 	// demand is this host's demand, by service.
 	demand map[string]*demandMeter
+	// left holds the incarnations that were marked as leaving, by ID.
+	left map[string]leavingMark
 	// changed is the channel of Changed; notify closes and replaces it.
 	changed chan struct{}
 }
@@ -144,7 +148,7 @@
 
 // New returns an empty fleet.
 func New(log logr.Logger) *Fleet {
-	return &Fleet{log: log, members: map[string]*member{}, demand: map[string]*demandMeter{}, changed: make(chan struct{})}
+	return &Fleet{log: log, members: map[string]*member{}, demand: map[string]*demandMeter{}, left: map[string]leavingMark{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed when a slot may have become free, or a
@@ -172,7 +176,7 @@
 	defer f.mu.Unlock()
 	old := f.members[r.ID]
 	if old == nil || old.Incarnation != r.Incarnation || old.Address != r.Address {
-		f.members[r.ID] = &member{Replica: r, refusedUntil: map[string]time.Time{}, observedVersions: map[string]uint64{}}
+		f.members[r.ID] = &member{Replica: r, refusedUntil: map[string]time.Time{}, observedVersions: map[string]uint64{}, leaving: f.hasLeft(r)}
 		f.log.Info("replica added", "replica", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining)
 		f.notify()
 		return
@@ -213,9 +217,12 @@
 
 // expired reports whether a replica missing from discovery must not be used any more.
 func (m *member) expired(now time.Time) bool {
-	return !m.missingSince.IsZero() && (m.Draining || now.Sub(m.missingSince) > missingGracePeriod)
+	return !m.missingSince.IsZero() && (m.draining() || now.Sub(m.missingSince) > missingGracePeriod)
 }
 
+// draining reports whether the replica takes no new requests.
+func (m *member) draining() bool { return m.Draining || m.leaving }
+
 // Sweep deletes expired replicas without requests in flight. Call it regularly.
 func (f *Fleet) Sweep() {
 	f.mu.Lock()
@@ -226,6 +233,7 @@
 			delete(f.members, id)
 		}
 	}
+	f.forgetLeft(now)
 }
 
 // Get returns a replica; false if it is unknown or expired.
@@ -263,6 +271,7 @@
 // snapshot returns a copy of the replica with the newest observed versions.
 func (m *member) snapshot() Replica {
 	r := m.Replica
+	r.Draining = m.draining()
 	r.Models = make(map[string]uint64, len(m.Models))
 	for model, version := range m.Models {
 		r.Models[model] = max(version, m.observedVersions[model])
@@ -406,7 +415,7 @@
 func (m *member) placementReplica(model string, median float64, now time.Time) placement.Replica {
 	v := placement.Replica{
 		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, OtherInFlight: m.currentOtherInFlight(now), Unanswered: m.unanswered,
-		Draining: m.Draining, Missing: !m.missingSince.IsZero(), RetryAt: m.retryAt, Slowdown: 1,
+		Draining: m.draining(), Missing: !m.missingSince.IsZero(), RetryAt: m.retryAt, Slowdown: 1,
 		Version: max(m.Models[model], m.observedVersions[model]),
 	}
 	if until := m.refusedUntil[model]; until.After(v.RetryAt) {
--- a/internal/fleet/named_limit.go
+++ b/internal/fleet/named_limit.go
@@ -169,7 +169,7 @@
 func (f *Fleet) limitWait(members []*member, now time.Time) time.Duration {
 	var shortest time.Duration
 	for _, m := range members {
-		if m.Draining {
+		if m.draining() {
 			continue
 		}
 		wait := f.limitedFor(m, now)
