quarantine: leave the query out of the fingerprint of a request with a body

The users identify a request that crashes its replicas by path, caller and body. With the query in the fingerprint, each repeat with another query began its count anew. Without a body the query is the content, and still counts.

--- a/internal/quarantine/request_record.go
+++ b/internal/quarantine/request_record.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/hex"
 	"time"
@@ -16,11 +17,16 @@
 // Fingerprint identifies requests with the same content to the same pool or host.
 type Fingerprint uint64
 
-// FingerprintOf hashes a request's method, target and body, and the name of the pool or
-// host to which the target belongs. It is never zero.
+// FingerprintOf hashes a request's method, path and body, and the name of the pool or
+// host to which the path belongs. The query counts only if there is no body: a caller may
+// change it when it sends the same body again. The result is never zero.
 func FingerprintOf(scope string, req *fasthttp.Request) Fingerprint {
+	target := req.URI().RequestURI()
+	if len(req.Body()) > 0 {
+		target, _, _ = bytes.Cut(target, []byte("?"))
+	}
 	digest := xxhash.New()
-	for _, part := range [][]byte{[]byte(scope), req.Header.Method(), req.URI().RequestURI(), req.Body()} {
+	for _, part := range [][]byte{[]byte(scope), req.Header.Method(), target, req.Body()} {
 		_, _ = digest.Write(binary.LittleEndian.AppendUint32(nil, uint32(len(part))))
 		_, _ = digest.Write(part)
 	}
