quarantine: read the target of a request without parsing it

FingerprintOf asked the HTTP library for the parsed target, and a request whose target was parsed is sent in its normalized form.

--- a/internal/quarantine/request_record.go
+++ b/internal/quarantine/request_record.go
@@ -21,7 +21,8 @@
 // host to which the path belongs. The query counts only if there is no body: a caller may
 // change it when it sends the same body again. The result is never zero.
 func FingerprintOf(scope string, req *fasthttp.Request) Fingerprint {
-	target := req.URI().RequestURI()
+	// Request.URI would parse the target, and a parsed target is sent in another form.
+	target := req.Header.RequestURI()
 	if len(req.Body()) > 0 {
 		target, _, _ = bytes.Cut(target, []byte("?"))
 	}
