--- a/internal/fleet/named_limit.go
+++ b/internal/fleet/named_limit.go
@@ -119,14 +119,14 @@
 }
 
 // ObserveLimit records the requests a second that a replica takes from all hosts
-// together, as it named them in an answer; zero if the answer names none.
-func (f *Fleet) ObserveLimit(id string, limit float64) {
+// together. named is false if an answer names no limit.
+func (f *Fleet) ObserveLimit(id string, limit float64, named bool) {
 	f.update(id, func(m *member) (freesSlot bool) {
 		now := time.Now()
 		switch {
-		case limit <= 0 && (m.limit == nil || now.Sub(m.limit.namedAt) < limitTTL):
+		case !named && (m.limit == nil || now.Sub(m.limit.namedAt) < limitTTL):
 			return false
-		case limit <= 0:
+		case !named:
 			f.log.Info("replica names no limit any more", "replica", id, "service", m.Service, "limit", m.limit.Limit())
 			m.limit = nil
 			return true
--- a/internal/fleet/named_limit_test.go
+++ b/internal/fleet/named_limit_test.go
@@ -19,7 +19,7 @@
 	f.SetShareSource(func(string, string) ratelimit.Share { return ratelimit.Share{Fraction: 0.5} })
 	for _, id := range []string{"a", "b"} {
 		f.Put(Replica{ID: id, Service: "s", Address: id, Slots: 8})
-		f.ObserveLimit(id, 2)
+		f.ObserveLimit(id, 2, true)
 	}
 	return f
 }
@@ -50,19 +50,33 @@
 			t.Errorf("error without a token: %v, retry after %s", err, e.RetryAfter)
 		}
 		// Another answer that was on its way names no limit, and does not end it.
-		f.ObserveLimit("a", 2)
-		f.ObserveLimit("a", 0)
+		f.ObserveLimit("a", 2, true)
+		f.ObserveLimit("a", 0, false)
 		if n := sentIn(f, 2*time.Second); n > 8 {
 			t.Errorf("%d requests in 2 s after an answer that was overtaken", n)
 		}
 		time.Sleep(limitTTL)
-		f.ObserveLimit("a", 0)
+		f.ObserveLimit("a", 0, false)
 		if n := sentIn(f, 2*time.Second); n != 100 {
 			t.Errorf("%d of 100 requests sent after the end of a limit", n)
 		}
 	})
 }
 
+// A replica that takes nothing gets a request now and then, from which its hosts learn
+// when that ends.
+func TestLimitOfZeroIsALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := limitedFleet()
+		f.ObserveLimit("a", 0, true)
+		f.ObserveLimit("b", 0, true)
+		// A share of a half at the lowest rate is one request in 40 s and replica.
+		if n := sentIn(f, 4*time.Minute); n < 8 || n > 16 {
+			t.Errorf("%d requests in 4 min to two replicas that take nothing", n)
+		}
+	})
+}
+
 // A replica that starts again under its id has no limit until it names one.
 func TestNamedLimitEndsWithTheIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -22,7 +22,7 @@
 		all := fleet.New(logr.Discard())
 		all.SetShareSource(func(string, string) ratelimit.Share { return ratelimit.Share{Fraction: 0.0001} })
 		all.Put(fleet.Replica{ID: "a", Service: "s", Address: "a", Slots: 4})
-		all.ObserveLimit("a", 1)
+		all.ObserveLimit("a", 1, true)
 		route := &routes.Route{Kind: routes.Idempotent, Resumable: true, Timeout: 9 * time.Second, LatencyObjective: 4 * time.Second, MaxAttempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}}}
 		call := Call{Route: route, Request: new(fasthttp.Request), Deadline: time.Now().Add(9 * time.Second)}
 		fake := &fakeReplicas{responses: map[string][]response{"a": {{ms, 200, nil}}}}
