--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -8,7 +8,7 @@
 )
 
 // What an upstream may get: one and a half times its limit and five requests more, in any
-// window, from burstAfter on.
+// window, from stableWindow on.
 const (
 	window       = 4 * time.Second
 	stableWindow = 3 * time.Second
@@ -114,13 +114,13 @@
 				"steady, ten times":       steady(10 * limit),
 				"steady, half":            steady(limit / 2),
 				"one host has most of it": func(h int, _ time.Duration) float64 {
-					return []float64{0.1 * limit / float64(hosts), 3 * limit}[b2i(h == 0)]
+					return []float64{0.1 * limit / float64(hosts), 3 * limit}[oneIf(h == 0)]
 				},
 				"bursts move": func(h int, now time.Duration) float64 {
-					return 4 * limit * float64(b2i(h == int(now.Seconds()/5)%hosts))
+					return 4 * limit * float64(oneIf(h == int(now.Seconds()/5)%hosts))
 				},
 				"all at once, after quiet": func(_ int, now time.Duration) float64 {
-					return 20 * limit / float64(hosts) * float64(b2i(int(now.Seconds())%10 >= 8))
+					return 20 * limit / float64(hosts) * float64(oneIf(int(now.Seconds())%10 >= 8))
 				},
 			} {
 				t.Run(fmt.Sprintf("%v a second, %d hosts, %s", limit, hosts, name), func(t *testing.T) {
@@ -143,7 +143,8 @@
 	}
 }
 
-func b2i(b bool) int {
+// oneIf returns 1 if a condition holds, else 0.
+func oneIf(b bool) int {
 	if b {
 		return 1
 	}
