quarantine: let only answers without an error status clear a request

Found when reading the change; TestErrorStatusDoesNotClearARequest is red before (400, 413, 500 and a stream).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,8 @@
 type CrashGuard interface {
 	// Admit returns an error of kind Quarantined and outcome NotRun if a request is refused.
 	Admit(f quarantine.Fingerprint) error
-	// Answered is called when a replica has answered a request.
+	// Answered is called when a replica has run a request and answered it. Answers with an
+	// error status don't count: they may be given before the request is run.
 	Answered(f quarantine.Fingerprint)
 	// Failed is called when an attempt has failed. It may wait shortly until it is known
 	// whether the replica has crashed.
@@ -210,9 +211,10 @@
 		traced := telemetry.WithFirstByteHook(ctx, func() { f.events.FirstByte(f.call.Kind, time.Since(began)) })
 		err := f.exchanger.Exchange(traced, target, req, resp, f.call.Route.Kind != routes.Idempotent)
 		f.fleet.Release(target.ID)
-		if err == nil {
+		switch {
+		case err == nil && resp.StatusCode() < fasthttp.StatusBadRequest:
 			f.guard.Answered(f.call.Fingerprint)
-		} else {
+		case err != nil:
 			f.guard.Failed(ctx, f.call.ID, f.call.Fingerprint, target, err)
 		}
 		f.results <- attemptResult{target: target, resp: resp, err: err, took: time.Since(began)}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -135,7 +135,9 @@
 	if err == nil {
 		s.attemptLog.end(target.ID, "whole")
 		s.fleet.RecordSuccess(target.ID)
-		s.guard.Answered(s.call.Fingerprint)
+		if streamed {
+			s.guard.Answered(s.call.Fingerprint)
+		}
 		return nil
 	}
 	if s.sinkErr == nil {
