--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -18,7 +18,7 @@
 var errRefusedDial = &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 
 // newTestGuard returns a guard that finds nobody at the addresses in down.
-func newTestGuard(t *testing.T, down map[string]bool) (*Guard, ledgerHost) {
+func newTestGuard(t *testing.T, down map[string]bool) *Guard {
 	l := startLedger(t, platformtest.NewRows(), "a")
 	dial := func(_ context.Context, address string) (net.Conn, error) {
 		if down[address] {
@@ -28,7 +28,7 @@
 		_ = far.Close()
 		return near, nil
 	}
-	return NewGuard(l.Ledger, NewProber(dial, nil, nil)), l
+	return NewGuard(l.Ledger, NewProber(dial, nil, nil))
 }
 
 func replica(n int) fleet.Replica {
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				down := map[string]bool{}
-				g, _ := newTestGuard(t, down)
+				g := newTestGuard(t, down)
 				for n := range crashesToRefuse {
 					down[replica(n).Address] = test.down
 					began := time.Now()
@@ -80,7 +80,7 @@
 func TestCrashAfterTheCallerLeftIsRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		down := map[string]bool{}
-		g, _ := newTestGuard(t, down)
+		g := newTestGuard(t, down)
 		left, cancel := context.WithCancel(t.Context())
 		cancel()
 		cancelled := failure.Wrap(left.Err(), failure.DeadlineExceeded, failure.Unknown, "the caller left")
