--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,23 +86,25 @@
 // reject a request that it has not begun to run.
 func TestErrorStatusDoesNotClearARequest(t *testing.T) {
 	for status, want := range map[int]int{200: 1, 204: 1, 400: 0, 413: 0, 500: 0} {
-		synctest.Test(t, func(t *testing.T) {
-			all := fleet.New(logr.Discard())
-			all.Put(fleet.Replica{ID: "a", Service: "s", Address: "a", Slots: 4})
-			route := &routes.Route{Kind: routes.AtMostOnce, Timeout: time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Shares: []routes.Share{{Service: "s", Weight: 1}}}
-			call := Call{Route: route, Request: new(fasthttp.Request), Fingerprint: 1, Deadline: time.Now().Add(time.Second)}
-			guard := &countingGuard{limit: 9}
-			fake := &fakeReplicas{responses: map[string][]response{"a": {{time.Millisecond, status, nil}}}}
-			if _, err := New(all, fake, guard, "", nil, logr.Discard()).Handle(t.Context(), call, new(fasthttp.Response)); err != nil {
-				t.Errorf("status %d: %v", status, err)
-			}
-			if guard.answers != want {
-				t.Errorf("status %d counts as %d answers, want %d", status, guard.answers, want)
-			}
-			err := New(all, nil, guard, "", nil, logr.Discard()).Stream(t.Context(), &fakeStreamer{list: []streamAttempt{{0, nil}}}, call, 0, &countingSink{}, new(fasthttp.Response))
-			if err != nil || guard.answers != want {
-				t.Errorf("a stream answered with an error: %d answers, %v", guard.answers-want, err)
-			}
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := fleet.New(logr.Discard())
+				all.Put(fleet.Replica{ID: "a", Service: "s", Address: "a", Slots: 4})
+				route := &routes.Route{Kind: routes.AtMostOnce, Timeout: time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+				call := Call{Route: route, Request: new(fasthttp.Request), Fingerprint: 1, Deadline: time.Now().Add(time.Second)}
+				guard := &countingGuard{limit: 9}
+				fake := &fakeReplicas{responses: map[string][]response{"a": {{time.Millisecond, status, nil}}}}
+				if _, err := New(all, fake, guard, "", nil, logr.Discard()).Handle(t.Context(), call, new(fasthttp.Response)); err != nil {
+					t.Errorf("status %d: %v", status, err)
+				}
+				if guard.answers != want {
+					t.Errorf("status %d counts as %d answers, want %d", status, guard.answers, want)
+				}
+				err := New(all, nil, guard, "", nil, logr.Discard()).Stream(t.Context(), &fakeStreamer{list: []streamAttempt{{0, nil}}}, call, 0, &countingSink{}, new(fasthttp.Response))
+				if err != nil || guard.answers != want {
+					t.Errorf("a stream answered with an error: %d answers, %v", guard.answers-want, err)
+				}
+			})
 		})
 	}
 }
