--- a/review/lab/case_open_job.go
+++ b/review/lab/case_open_job.go
@@ -12,7 +12,7 @@
 	// statusSeconds is status_s of the small deployment.
 	statusSeconds = 60
 	// readAgainAfter is when the other requester reads again, counted from the submission.
-	readAgainAfter = 100 * time.Second
+	readAgainAfter = 105 * time.Second
 	openJobItems   = 6
 )
 
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -57,7 +57,7 @@
 
 // addEngine starts an engine with version 1 of its model and registers it.
 func (l *lab) addEngine(c engineConfig) (*engine, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", net.JoinHostPort(loopback, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/review/lab/front.go
+++ b/review/lab/front.go
@@ -29,9 +29,9 @@
 
 type connKey struct{}
 
-// newFront listens on a free port of ip and passes calls on to a store.
-func newFront(ip, store string) (*front, string, error) {
-	listener, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+// newFront listens on a free port and passes calls on to a store.
+func newFront(store string) (*front, string, error) {
+	listener, err := net.Listen("tcp4", net.JoinHostPort(loopback, "0"))
 	if err != nil {
 		return nil, "", err
 	}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -23,10 +23,15 @@
 	// heartbeat is the time between two check-ins of a replica. Three missed ones
 	// remove its entry.
 	heartbeat = 1200 * time.Millisecond
-	// firstPort and portTries bound the search for free ports.
-	firstPort = 21000
-	portTries = 2000
-	ports     = 5
+	// loopback is the address of all processes.
+	loopback = "127.0.0.1"
+	// Ports lie below the range that the system uses for outgoing connections. Each run
+	// begins its search for free ones at another port, by process id. A host takes ports
+	// of them.
+	firstPort   = 21000
+	portsPerRun = 20
+	portRuns    = 500
+	ports       = 5
 )
 
 // lab is a small deployment on loopback addresses.
@@ -37,13 +42,13 @@
 	endpoint *standin.Endpoint
 	hosts    []*host
 	closers  []func()
-	// nextIP is the last byte of the address of the next host.
-	nextIP int
+	// nextPort is the first port that is tried for the next host.
+	nextPort int
 }
 
 // host is a host process, and the one that takes its place after a kill.
 type host struct {
-	name, ip string
+	name     string
 	settings string
 	callers  string
 	front    *front
@@ -62,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{rec: rec, store: standin.NewStore(), nextIP: 11}
+	l := &lab{rec: rec, store: standin.NewStore(), nextPort: firstPort + os.Getpid()%portRuns*portsPerRun}
 	if l.dir, err = os.MkdirTemp("", "lab"); err != nil {
 		return nil, err
 	}
@@ -99,38 +104,38 @@
 	l.rec.add("trainer: version %d of %s is named", version, model)
 }
 
-// freePorts returns a port such that it and the next ones are free on ip.
-func freePorts(ip string) (int, error) {
-	for first := firstPort; first < firstPort+portTries; first += ports {
+// freePorts returns a port such that it and the next ones are free.
+func (l *lab) freePorts() (int, error) {
+	for ; l.nextPort < firstPort+portRuns*portsPerRun+portsPerRun; l.nextPort += ports {
 		free := true
-		for port := first; port < first+ports && free; port++ {
-			listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+		for port := l.nextPort; port < l.nextPort+ports && free; port++ {
+			listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", loopback, port))
 			if free = err == nil; free {
 				_ = listener.Close()
 			}
 		}
 		if free {
+			first := l.nextPort
+			l.nextPort += ports
 			return first, nil
 		}
 	}
-	return 0, errors.New("no free ports on " + ip)
+	return 0, errors.New("no free ports")
 }
 
 // addHost starts a host with a share of a core and the installation's status_s, which
 // the template turns into settings.
 func (l *lab) addHost(name string, share float64, statusSeconds int) (*host, error) {
-	ip := fmt.Sprintf("127.77.%d.%d", os.Getpid()%250+1, l.nextIP)
-	l.nextIP++
-	first, err := freePorts(ip)
+	first, err := l.freePorts()
 	if err != nil {
 		return nil, err
 	}
-	way, address, err := newFront(ip, l.endpoint.Address())
+	way, address, err := newFront(l.endpoint.Address())
 	if err != nil {
 		return nil, err
 	}
 	l.closers = append(l.closers, way.close)
-	at := func(n int) string { return fmt.Sprintf("%s:%d", ip, first+n) }
+	at := func(n int) string { return fmt.Sprintf("%s:%d", loopback, first+n) }
 	text, err := os.ReadFile(template)
 	if err != nil {
 		return nil, err
@@ -144,7 +149,7 @@
 	if strings.Contains(settings, "{{") {
 		return nil, errors.New("the settings template has a field that the case does not know")
 	}
-	h := &host{name: name, ip: ip, callers: at(0), front: way, exited: make(chan struct{})}
+	h := &host{name: name, callers: at(0), front: way, exited: make(chan struct{})}
 	h.settings = settings
 	if err := l.startHost(h); err != nil {
 		return nil, err
