--- a/review/lab/case_end_race.go
+++ b/review/lab/case_end_race.go
@@ -10,7 +10,7 @@
 func init() { cases["end-race"] = endRace }
 
 const (
-	endRaceBatches = 6
+	endRaceBatches = 8
 	endRaceItems   = 12
 	// slowFactor is how many times as long the store's answers take, slowFor for how long.
 	slowFactor = 60
@@ -19,7 +19,7 @@
 	readTime   = 4 * time.Millisecond
 	// firstEnd is when the first trainer ends its batch, counted from the death of the
 	// owner, and endStep the time between two ends.
-	firstEnd = 2200 * time.Millisecond
+	firstEnd = 1700 * time.Millisecond
 	endStep  = 200 * time.Millisecond
 	// cancelTime is cancel_ms.
 	cancelTime = 3 * time.Second
