job: wait for a configuration as new as that of a job's acceptance

Cause: an owner whose configuration lacks the route took it for gone. The acceptance reaches the owner at once, its configuration up to 1.7 s later if the connection on which it waits for changes is silent; nothing told it which version is meant.

Evidence: the owner's log of the case shows 'configuration in force' version 1 and then 'rollout given up ... no route'; the accepting host had version 2.

Change: the owner row carries the version of the configuration of the acceptance, and the rule of a job is not known on a host with an older one. So the job waits, and a shorter route of an older version does not take its items either. Same for a takeover, for a job that the feed brings, and for trainers on the product's own adapter.

--- a/internal/chatjobs/api.go
+++ b/internal/chatjobs/api.go
@@ -34,7 +34,7 @@
 
 // manager is the part of job.Manager that the API uses.
 type manager interface {
-	Accept(ctx context.Context, spec *job.Spec) error
+	Accept(ctx context.Context, spec *job.Spec, configVersion uint64) error
 	Results(ctx context.Context, id string, after int, wait time.Duration) (job.Page, error)
 	Body(ctx context.Context, id, rollout string) ([]byte, error)
 	End(ctx context.Context, id string) error
@@ -54,6 +54,8 @@
 	// job is the job's id in the store: the trainer's name, a slash and the trainer's id of the
 	// job.
 	job string
+	// configVersion is the version of the document by which the call was authenticated.
+	configVersion uint64
 }
 
 // Handle serves the paths under trainerapi.PathJobs.
@@ -75,7 +77,7 @@
 	if err := checkID("job", id); err != nil {
 		return err
 	}
-	c := call{http: http, model: doc.EnginePools[known.EnginePool].Model, trainer: trainer, job: trainer + "/" + id}
+	c := call{http: http, model: doc.EnginePools[known.EnginePool].Model, trainer: trainer, job: trainer + "/" + id, configVersion: doc.Version}
 	switch rollout, isRollout := strings.CutPrefix(action, "rollouts/"); {
 	case http.IsPost() && action == "":
 		return a.accept(ctx, c)
@@ -107,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	if err := a.jobs.Accept(ctx, spec); err != nil {
+	if err := a.jobs.Accept(ctx, spec, c.configVersion); err != nil {
 		return err
 	}
 	jsonhttp.WriteJSON(c.http, fasthttp.StatusAccepted, trainerapi.JobAccepted{Job: strings.TrimPrefix(c.job, c.trainer+"/"), Rollouts: len(spec.Rollouts)})
--- a/internal/chatjobs/rules.go
+++ b/internal/chatjobs/rules.go
@@ -21,9 +21,9 @@
 type Rules struct{ docs deployment.Source }
 
 // JobRule implements job.Rules.
-func (r Rules) JobRule(spec *job.Spec) (rule job.Rule, found, known bool) {
+func (r Rules) JobRule(spec *job.Spec, since uint64) (rule job.Rule, found, known bool) {
 	doc := r.docs.Current()
-	if doc == nil {
+	if doc == nil || doc.Version < since {
 		return rule, false, false
 	}
 	trainer, ok := doc.Trainers[spec.Host]
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -12,12 +12,13 @@
 // inDoubtRetryDelay is the delay before a write with an unknown outcome is repeated.
 const inDoubtRetryDelay = 60 * time.Millisecond
 
-// Accept stores a job, and starts it if this host becomes its owner. Accepting a
+// Accept stores a job, and starts it if this host becomes its owner. configVersion is the
+// version of the configuration that has the job's route; the owner waits for it. Accepting a
 // job with the ID of a stored one succeeds without any effect. The error has kind
 // StoreUnavailable and outcome NotRun if the job was not stored and never will be,
 // kind StoreInDoubt if it may have been stored, and kind InvalidRequest if it
 // cannot be encoded.
-func (m *Manager) Accept(ctx context.Context, spec *Spec) error {
+func (m *Manager) Accept(ctx context.Context, spec *Spec, configVersion uint64) error {
 	m.mu.Lock()
 	state := m.jobs[spec.ID]
 	m.mu.Unlock()
@@ -32,6 +33,7 @@
 	owner := OwnerRow{
 		Host: m.host, Incarnation: m.incarnation, AcceptedMS: now.Milliseconds(),
 		Total: len(spec.Rollouts), Model: spec.Model, Step: spec.Step, MinVersion: spec.MinVersion,
+		ConfigVersion: configVersion,
 	}
 	if host, incarnation, ok := m.hosts.PreferredHost(owner.rankingKey(spec.ID)); ok {
 		owner.Host, owner.Incarnation = host, incarnation
@@ -57,7 +59,7 @@
 	}
 	m.events.Event("job_accepted")
 	m.log.Info("job accepted", "job", spec.ID, "owner", owner.Host, "version", result.Version, "rollouts", len(spec.Rollouts),
-		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
+		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion, "configuration", configVersion)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	accepted := Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -165,10 +165,30 @@
 	return ScoreAnswer{Signature: "signed " + call.ID}, nil
 }
 
-// fixedRules returns the same rule for all jobs.
-type fixedRules struct{ rule Rule }
+// fixedRules holds the rule of all jobs.
+type fixedRules struct {
+	rule Rule
+	// since is the version of the configuration that first has the rule, and until the
+	// version from which on it is missing again; zero for never.
+	since, until atomic.Uint64
+}
+
+// hostRules implements Rules for a host with a version of the configuration.
+type hostRules struct {
+	*fixedRules
+	version atomic.Uint64
+}
 
-func (r *fixedRules) JobRule(*Spec) (Rule, bool, bool) { return r.rule, true, true }
+func (r *hostRules) JobRule(_ *Spec, since uint64) (Rule, bool, bool) {
+	version := r.version.Load()
+	if version < since {
+		return Rule{}, false, false
+	}
+	if until := r.until.Load(); version < r.since.Load() || until > 0 && version >= until {
+		return Rule{}, false, true
+	}
+	return r.rule, true, true
+}
 
 // host is one process of a host.
 type host struct {
@@ -179,6 +199,7 @@
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
 	heartbeat *roster.Heartbeat
+	rules     *hostRules
 	killed    atomic.Bool
 }
 
@@ -213,7 +234,7 @@
 		c := &cluster{
 			t: t, rows: platformtest.NewRows(), engines: newFakeEngines(),
 			scores: &fakeScorer{fail: map[string]int{}, calls: map[string]int{}},
-			rules:  &fixedRules{Rule{Service: testService, MaxAttempts: 3, RunDeadline: 8 * time.Second}},
+			rules:  &fixedRules{rule: Rule{Service: testService, MaxAttempts: 3, RunDeadline: 8 * time.Second}},
 		}
 		defer func() {
 			for _, h := range c.hosts {
@@ -239,7 +260,8 @@
 	}
 	r := roster.New(log)
 	self := roster.Host{ID: id, Incarnation: fmt.Sprintf("boot-%d", c.incarnations)}
-	h := &host{id: id, rows: client, fleet: fleet.New(log), heartbeat: roster.NewHeartbeat(self, client, r, log)}
+	h := &host{id: id, rows: client, fleet: fleet.New(log), heartbeat: roster.NewHeartbeat(self, client, r, log), rules: &hostRules{fixedRules: c.rules}}
+	h.rules.version.Store(1)
 	for _, name := range []string{"e1", "e2", "e3"} {
 		h.fleet.Put(fleet.Replica{ID: name, Service: testService, Address: name, Slots: 4, Models: map[string]uint64{testModel: 1}})
 	}
@@ -249,7 +271,7 @@
 	}
 	h.manager = NewManager(Config{
 		Notify: notify,
-		Host:   id, Incarnation: self.Incarnation, Rows: client, Hosts: r, Rules: c.rules, Fleet: h.fleet,
+		Host:   id, Incarnation: self.Incarnation, Rows: client, Hosts: r, Rules: h.rules, Fleet: h.fleet,
 		Engine: c.engines, Scorer: c.scores, Retention: time.Minute, Log: log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -325,7 +347,7 @@
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	if err := h.manager.Accept(ctx, s); err != nil {
+	if err := h.manager.Accept(ctx, s, h.rules.version.Load()); err != nil {
 		c.t.Fatalf("job %s was not accepted: %v", s.ID, err)
 	}
 }
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -122,8 +122,9 @@
 			r.mu.Unlock()
 			continue
 		}
-		rule, found, known := m.rules.JobRule(r.spec)
+		rule, found, known := m.rules.JobRule(r.spec, r.owner.ConfigVersion)
 		if !known {
+			r.logMissingRuleLocked()
 			r.mu.Unlock()
 			continue
 		}
@@ -154,6 +155,15 @@
 	return defaultLengthEvents
 }
 
+// logMissingRuleLocked logs once that the run waits for a configuration. The caller holds mu.
+func (r *jobRun) logMissingRuleLocked() {
+	if r.missingRuleLogged {
+		return
+	}
+	r.missingRuleLogged = true
+	r.log.Info("job waits for a configuration as new as that of its acceptance", "configuration", r.owner.ConfigVersion)
+}
+
 // activeRuns returns the runs of the jobs that this host owns.
 func (m *Manager) activeRuns() []*jobRun {
 	m.mu.Lock()
--- a/internal/job/interfaces.go
+++ b/internal/job/interfaces.go
@@ -74,9 +74,11 @@
 
 // Rules looks up the rule of a job.
 type Rules interface {
-	// JobRule returns the rule of a job. found is false if the configuration has no
-	// route for the job, and known is false if this host has no configuration yet.
-	JobRule(spec *Spec) (rule Rule, found, known bool)
+	// JobRule returns the rule of a job that was accepted under version since of the
+	// configuration. found is false if the configuration has no route for the job, and
+	// known is false if this host has no configuration yet, or one older than since: it
+	// can't tell a route that is gone from one that it has not received.
+	JobRule(spec *Spec, since uint64) (rule Rule, found, known bool)
 }
 
 // Hosts is this host's view of the live hosts.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -100,6 +100,9 @@
 	MinVersion uint64 `json:"min_version,omitempty"`
 	// Chunks is the number of rows that hold the spec.
 	Chunks int `json:"chunks"`
+	// ConfigVersion is the version of the configuration under which the job was accepted;
+	// zero if it is not known.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// Run identifies the run that last listed results, among all runs of all processes;
 	// empty before the first listing.
 	Run string `json:"run,omitempty"`
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -79,7 +79,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		defer cancel()
 		s := spec("job", 4)
-		err := a.manager.Accept(ctx, s)
+		err := a.manager.Accept(ctx, s, 1)
 		if e := failure.As(err); e.Kind != failure.StoreInDoubt || e.Outcome == failure.NotRun {
 			t.Fatalf("an acceptance in doubt ended with %v", err)
 		}
@@ -95,7 +95,7 @@
 		a.rows.SetDown(true)
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		defer cancel()
-		err := a.manager.Accept(ctx, spec("job", 4))
+		err := a.manager.Accept(ctx, spec("job", 4), 1)
 		if e := failure.As(err); e.Kind != failure.StoreUnavailable || e.Outcome != failure.NotRun {
 			t.Fatalf("a refused acceptance ended with %v", err)
 		}
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -117,6 +117,8 @@
 	isEnded bool
 	// isHandingOver is true once this host must hand the job over.
 	isHandingOver bool
+	// missingRuleLogged is true once this host logged that the job waits for a configuration.
+	missingRuleLogged bool
 	// prepared is true once tasks is complete.
 	prepared bool
 }
--- a/internal/job/watch.go
+++ b/internal/job/watch.go
@@ -85,7 +85,7 @@
 			r.mu.Unlock()
 			continue
 		}
-		rule, found, _ := m.rules.JobRule(r.spec)
+		rule, found, _ := m.rules.JobRule(r.spec, r.owner.ConfigVersion)
 		// AcceptedMS is zero if the owner row has no time of acceptance.
 		late := found && rule.GiveUpAfter > 0 && r.owner.AcceptedMS > 0 && clock > r.owner.acceptedAt()+rule.GiveUpAfter
 		for _, task := range r.tasks {
