job: look for the end of a job again once its takeover is written

Cause: takeOver looked for the end before its write only. The end row that the feed brings during the write finds no run to tell, and does not come twice. startOwned had the same gap between its two locks.

Evidence: 'job taken over' without 'run of the job ends' for the batches whose end was acknowledged while the write was under way.

Change: takeover, feed and acceptance start a run by one function that checks owner, version and end under the lock under which the end is recorded; the write of a takeover requires that there is no end row. The log line of a takeover says whether it met an end.

--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -35,6 +35,9 @@
 	orphanSince time.Time
 }
 
+// over reports whether no run of the job is needed any more. The owner row must be known.
+func (s *jobState) over() bool { return s.ended || s.owner.Listed >= s.owner.Total }
+
 // Manager accepts jobs, runs those that this host owns and takes over those
 // whose owner died. It implements follow.Sink for TableJobs.
 type Manager struct {
@@ -275,7 +278,7 @@
 	now := time.Now()
 	var owned, orphans []string
 	for id, state := range m.jobs {
-		if state.version == 0 || state.ended || state.owner.Listed >= state.owner.Total || m.runs[id] != nil {
+		if state.version == 0 || state.over() || m.runs[id] != nil {
 			continue
 		}
 		switch {
@@ -308,8 +311,8 @@
 func (m *Manager) startOwned(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if state := m.jobs[id]; state != nil && m.runs[id] == nil {
-		m.start(id, nil, state.owner, state.version)
+	if state := m.jobs[id]; state != nil {
+		m.start(id, nil, state.version)
 	}
 }
 
@@ -334,7 +337,8 @@
 		return
 	}
 	result, err := m.store.rows.Commit(ctx, platform.RowTransaction{
-		Checks: []platform.RowCheck{{RowID: ownerRowID(id), Version: version}},
+		// The job must not have been ended.
+		Checks: []platform.RowCheck{{RowID: ownerRowID(id), Version: version}, {RowID: endRowID(id)}},
 		Writes: []platform.RowWrite{write},
 	})
 	if err != nil {
@@ -342,19 +346,23 @@
 		return
 	}
 	m.events.Event("job_taken_over")
-	m.log.Info("job taken over", "job", id, "from", before, "version", result.Version, "before", version, "feed_age", feedAge, "listed", owner.Listed, "total", owner.Total)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.observeOwner(id, owner, result.Version)
-	if m.runs[id] == nil && !m.draining && m.jobs[id].version == result.Version {
-		m.start(id, nil, owner, result.Version)
-	}
+	m.log.Info("job taken over", "job", id, "from", before, "version", result.Version, "before", version, "feed_age", feedAge, "listed", owner.Listed, "total", owner.Total,
+		"ended", m.jobs[id].ended)
+	m.start(id, nil, result.Version)
 }
 
-// start runs a job. If spec is nil, it is read from the store first. The caller
-// holds mu.
-func (m *Manager) start(id string, spec *Spec, owner OwnerRow, version uint64) {
-	r := newJobRun(m, id, spec, owner, version)
+// start runs a job if this host owns it by the owner row of a version, knows no newer
+// row, and the job is neither running here nor over. If spec is nil, it is read from the
+// store first. The caller holds mu.
+func (m *Manager) start(id string, spec *Spec, version uint64) {
+	state := m.jobs[id]
+	if m.runs[id] != nil || state.version != version || !m.owns(state.owner) || state.over() {
+		return
+	}
+	r := newJobRun(m, id, spec, state.owner, version)
 	// The run on a draining host only hands the job over.
 	r.isHandingOver = m.draining
 	m.runs[id] = r
--- a/internal/job/notify.go
+++ b/internal/job/notify.go
@@ -73,10 +73,7 @@
 // acceptedLocked is Accepted; the caller holds mu.
 func (m *Manager) acceptedLocked(a Acceptance) {
 	m.observeOwner(a.ID, a.Owner, a.Version)
-	state := m.jobs[a.ID]
-	if m.owns(a.Owner) && m.runs[a.ID] == nil && state.version == a.Version && !state.ended {
-		m.start(a.ID, a.Spec, a.Owner, a.Version)
-	}
+	m.start(a.ID, a.Spec, a.Version)
 }
 
 // tellOwner notifies the owner of a job that this host accepted.
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -50,6 +50,10 @@
 	return platform.RowID{Table: TableJobs, Part: job, Key: keyOwner}
 }
 
+func endRowID(job string) platform.RowID {
+	return platform.RowID{Table: TableJobs, Part: job, Key: keyEnd}
+}
+
 func resultRowID(job string, position, chunk int) platform.RowID {
 	return platform.RowID{Table: tableResults, Part: job, Key: resultKey(position) + fmt.Sprintf("/%04d", chunk)}
 }
@@ -298,7 +302,7 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "", "cannot encode end row")
 	}
-	row := platform.RowWrite{RowID: platform.RowID{Table: TableJobs, Part: job, Key: keyEnd}, Value: value}
+	row := platform.RowWrite{RowID: endRowID(job), Value: value}
 	_, err = s.rows.Commit(ctx, platform.RowTransaction{Writes: []platform.RowWrite{row}})
 	return err
 }
--- a/internal/job/sweep.go
+++ b/internal/job/sweep.go
@@ -48,8 +48,7 @@
 	}
 	var old []string
 	for id, state := range m.jobs {
-		over := state.ended || state.owner.Listed >= state.owner.Total
-		if state.version > 0 && state.owner.AcceptedMS > 0 && over && m.runs[id] == nil && clock > state.owner.acceptedAt()+m.retention+retentionMargin && m.hosts.Rank(id, m.host) == 0 {
+		if state.version > 0 && state.owner.AcceptedMS > 0 && state.over() && m.runs[id] == nil && clock > state.owner.acceptedAt()+m.retention+retentionMargin && m.hosts.Rank(id, m.host) == 0 {
 			old = append(old, id)
 		}
 	}
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -189,6 +189,8 @@
 	// that are executed after writeDelay.
 	delayedWrites int
 	writeDelay    time.Duration
+	// slow holds the delays of the transactions that write to a table.
+	slow map[string]slowness
 	// pending counts the delayed transactions.
 	pending      sync.WaitGroup
 	changesCalls int
@@ -232,6 +234,18 @@
 	c.delayedWrites, c.writeDelay = n, after
 }
 
+// slowness is how long transactions take until they are executed, and their answers from
+// then on.
+type slowness struct{ before, after time.Duration }
+
+// SlowWrites delays the execution of all transactions that write to a table, and their
+// answers once they are executed.
+func (c *RowsClient) SlowWrites(table string, before, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slow = map[string]slowness{table: {before, after}}
+}
+
 // WaitForDelayedWrites waits until all delayed transactions have been executed.
 func (c *RowsClient) WaitForDelayedWrites() { c.pending.Wait() }
 
@@ -361,6 +375,12 @@
 	lose, late, after := c.lostAnswers > 0, c.delayedWrites > 0, c.writeDelay
 	c.lostAnswers = max(0, c.lostAnswers-1)
 	c.delayedWrites = max(0, c.delayedWrites-1)
+	var slow slowness
+	for _, write := range tx.Writes {
+		if s, ok := c.slow[write.Table]; ok {
+			slow = s
+		}
+	}
 	c.mu.Unlock()
 	if late {
 		c.pending.Go(func() {
@@ -376,9 +396,11 @@
 		// All rows of a transaction are in one part.
 		time.Sleep(time.Until(c.rows.reserveWrite(tx.Writes[0].Part)))
 	}
+	time.Sleep(slow.before)
 	c.rows.mu.Lock()
 	result, err := c.rows.apply(tx)
 	c.rows.mu.Unlock()
+	time.Sleep(slow.after)
 	if lose || ctx.Err() != nil {
 		return platform.CommitResult{}, failure.New(failure.StoreInDoubt, "", "the store did not answer")
 	}
