job: record an end at a host that does not know the job yet

What a trainer could see: the host that owns its batch acknowledges the end, and then runs all items, until its feed shows the end.

Cause: End marked the job only if the host knew it. If the acceptance reaches the owner after the end, and the feed lags, the acceptance started a run.

TestAcceptanceThatArrivesAfterTheEnd- StartsNothing failed before: 6 runs began after the end. The feed's end rows and End now record the end in one way, whether or not the owner row is known.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -138,11 +138,6 @@
 	m.log.Info("job ended", "job", id)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if state := m.jobs[id]; state != nil {
-		state.ended = true
-	}
-	if r := m.runs[id]; r != nil {
-		r.markEnded("ended by its trainer")
-	}
+	m.observeEnd(id)
 	return nil
 }
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -221,6 +221,8 @@
 	incarnations int
 	// notifies is true if hosts tell the owners of the jobs that they accept.
 	notifies bool
+	// notifyDelay is how long that takes.
+	notifyDelay time.Duration
 	// feedFactor multiplies the interval of the hosts' change feeds; zero means 1.
 	feedFactor float64
 
@@ -295,6 +297,7 @@
 
 // notify delivers an Acceptance as msgpack, as between processes.
 func (c *cluster) notify(id string, a Acceptance) error {
+	time.Sleep(c.notifyDelay)
 	encoded, err := msgpack.Marshal(a)
 	if err != nil {
 		return err
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -143,17 +143,9 @@
 		}
 		return
 	}
-	state := m.jobs[row.Part]
-	if state == nil {
-		state = &jobState{}
-		m.jobs[row.Part] = state
-	}
 	switch row.Key {
 	case keyEnd:
-		state.ended = true
-		if r := m.runs[row.Part]; r != nil {
-			r.markEnded("ended by its trainer")
-		}
+		m.observeEnd(row.Part)
 	case keyOwner:
 		var owner OwnerRow
 		if err := json.Unmarshal(row.Value, &owner); err != nil {
@@ -198,13 +190,28 @@
 	return m.waitingReaders > 0 || time.Since(m.lastWait) < readerReturnTime
 }
 
-// observeOwner records an owner row if it is newer than the known one. The caller holds mu.
-func (m *Manager) observeOwner(job string, owner OwnerRow, version uint64) {
+// state returns the state of a job, which may be new. The caller holds mu.
+func (m *Manager) state(job string) *jobState {
 	state := m.jobs[job]
 	if state == nil {
 		state = &jobState{}
 		m.jobs[job] = state
 	}
+	return state
+}
+
+// observeEnd records that a job was ended, also if its owner row is not known yet. The
+// caller holds mu.
+func (m *Manager) observeEnd(job string) {
+	m.state(job).ended = true
+	if r := m.runs[job]; r != nil {
+		r.markEnded("ended by its trainer")
+	}
+}
+
+// observeOwner records an owner row if it is newer than the known one. The caller holds mu.
+func (m *Manager) observeOwner(job string, owner OwnerRow, version uint64) {
+	state := m.state(job)
 	if version <= state.version {
 		return
 	}
--- a/internal/job/notify_test.go
+++ b/internal/job/notify_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +57,27 @@
 		}
 	})
 }
+
+// Guards against an acceptance that arrives after the job's end, at an owner whose feed shows
+// neither yet: the job ran although the owner itself had acknowledged the end.
+func TestAcceptanceThatArrivesAfterTheEndStartsNothing(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		c.notifies = true
+		// Feeds are read every 5 s while nobody waits for results.
+		c.feedFactor = 200
+		first, owner, other := c.startWithJob(2, "a", "a", "b")
+		c.waitForResults(owner, first, 3*time.Second)
+		time.Sleep(1600 * time.Millisecond)
+		c.notifyDelay = 200 * time.Millisecond
+		s := spec("ended", 6)
+		begun := c.engines.startedRuns()
+		c.accept(other, s)
+		if err := owner.manager.End(context.Background(), s.ID); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if n := c.engines.startedRuns() - begun; n > 0 {
+			t.Errorf("%d runs began after the end", n)
+		}
+	})
+}
