job: record a hand-over at the host that made it

What callers could see: after a planned hand-over, the stopping host began the items of the batch again while its feed did not show the hand-over yet, until the refused write of that run; items ran at two replicas for the time of one write.

Cause: commitHandover did not record the row that it had written, so the older row named this host as owner of a job without a run.

TestHandedOverJobIsNotStartedAgain failed before: 4 of 4 rollouts began again with a write time of 100 ms.

--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -199,8 +199,9 @@
 	r.mu.Unlock()
 	owner.Host, owner.Incarnation = "", ""
 	write, err := ownerWrite(r.id, owner)
+	var result platform.CommitResult
 	if err == nil {
-		_, err = r.m.store.rows.Commit(r.m.ctx, platform.RowTransaction{
+		result, err = r.m.store.rows.Commit(r.m.ctx, platform.RowTransaction{
 			Checks: []platform.RowCheck{{RowID: ownerRowID(r.id), Version: version}},
 			Writes: []platform.RowWrite{write},
 		})
@@ -208,7 +209,14 @@
 	switch {
 	case err == nil:
 		r.m.events.Event("job_handed_over")
-		r.log.Info("job handed over", "listed", owner.Listed, "total", owner.Total)
+		r.log.Info("job handed over", "listed", owner.Listed, "total", owner.Total, "version", result.Version)
+		r.mu.Lock()
+		r.isHandedOver = true
+		r.mu.Unlock()
+		// The feed may lag, and its older row would make this host start the job again.
+		r.m.mu.Lock()
+		r.m.observeOwner(r.id, owner, result.Version)
+		r.m.mu.Unlock()
 		return false, false
 	case failure.IsKind(err, failure.Conflict):
 		return !r.checkOwner(nil), true
--- a/internal/job/notify_test.go
+++ b/internal/job/notify_test.go
@@ -81,3 +81,27 @@
 		}
 	})
 }
+
+// Guards against a host that started a job again which it had just handed over, because its
+// feed did not show the hand-over yet.
+func TestHandedOverJobIsNotStartedAgain(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		c.notifies = true
+		// Feeds are read every 5 s while nobody waits for results.
+		c.feedFactor = 200
+		c.engines.length = 100
+		s, owner, _ := c.startWithJob(4, "a", "a", "b")
+		time.Sleep(1500 * time.Millisecond)
+		owner.rows.SlowWrites(TableJobs, 100*time.Millisecond, 0)
+		owner.heartbeat.SetDraining()
+		owner.manager.Drain(context.Background(), 0)
+		begun := c.engines.startedRuns()
+		time.Sleep(500 * time.Millisecond)
+		if row, _, err := c.ownerRow(s.ID); err != nil || row.Host != "" {
+			t.Fatalf("the job has the owner %q, %v", row.Host, err)
+		}
+		if n := c.engines.startedRuns() - begun; n > 0 {
+			t.Errorf("the host that handed the job over began %d runs", n)
+		}
+	})
+}
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -117,6 +117,8 @@
 	isEnded bool
 	// isHandingOver is true once this host must hand the job over.
 	isHandingOver bool
+	// isHandedOver is true once the store has the handover.
+	isHandedOver bool
 	// missingRuleLogged is true once this host logged that the job waits for a configuration.
 	missingRuleLogged bool
 	// prepared is true once tasks is complete.
@@ -163,7 +165,7 @@
 }
 
 func (r *jobRun) markLostLocked(reason string, version uint64) {
-	if r.isLost {
+	if r.isLost || r.isHandedOver {
 		return
 	}
 	r.isLost = true
