rollout: begin a step by a document as new as that of its acceptance

What trainers could see, on the product's own adapter: a step that was asked for right after a change of their settings was generated whole by the former model or engine pool.

Cause: a step keeps the settings with which its owner first sees it, and the owner took whatever document it had.

The step row now carries the document's version.

--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -113,7 +113,7 @@
 	if err := checkStep(req); err != nil {
 		return err
 	}
-	s, err := a.store.create(c.ctx, c.trainer.Name, c.step, req)
+	s, err := a.store.create(c.ctx, c.trainer.Name, c.step, req, c.doc.Version)
 	if err != nil {
 		return err
 	}
--- a/internal/rollout/fakes_test.go
+++ b/internal/rollout/fakes_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -355,11 +356,20 @@
 	f.rate = rate
 }
 
-type fakeSource struct{ doc *deployment.Document }
+// fakeSource is a deployment.Source with a document that a test may replace.
+type fakeSource struct {
+	doc atomic.Pointer[deployment.Document]
+}
+
+func newFakeSource(doc *deployment.Document) *fakeSource {
+	f := &fakeSource{}
+	f.doc.Store(doc)
+	return f
+}
 
-func (f fakeSource) Current() *deployment.Document { return f.doc }
+func (f *fakeSource) Current() *deployment.Document { return f.doc.Load() }
 
-func (f fakeSource) Changed() <-chan struct{} { return nil }
+func (f *fakeSource) Changed() <-chan struct{} { return nil }
 
 // fakeLeases grants every shard while held is true.
 type fakeLeases struct {
@@ -422,6 +432,7 @@
 
 // testHost is one host of a testCluster.
 type testHost struct {
+	docs   *fakeSource
 	api    *API
 	owner  *Owner
 	worker *worker
@@ -442,9 +453,9 @@
 // startHostWithoutLease starts a host that holds no lease.
 func (b *testCluster) startHostWithoutLease(t *testing.T, policy Policy) *testHost {
 	t.Helper()
-	source := fakeSource{b.doc}
+	source := newFakeSource(b.doc)
 	st := newStore(b.store, b.store)
-	h := &testHost{leases: &fakeLeases{}, peers: b.peers.Join(peer.Host{ID: fmt.Sprintf("h%d", b.hosts)})}
+	h := &testHost{docs: source, leases: &fakeLeases{}, peers: b.peers.Join(peer.Host{ID: fmt.Sprintf("h%d", b.hosts)})}
 	b.hosts++
 	engines := b.generator
 	if engines == nil {
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -66,7 +66,7 @@
 }
 
 func (m *stepModel) create(t *rapid.T) {
-	_, err := m.store.create(context.Background(), "advice", 1, stepRequest(modelGroups, 1))
+	_, err := m.store.create(context.Background(), "advice", 1, stepRequest(modelGroups, 1), 1)
 	m.failUnlessExpected(t, err)
 }
 
@@ -262,7 +262,7 @@
 func TestLargeContentIsAnObject(t *testing.T) {
 	rows := newFakeStore()
 	st := newStore(rows, rows)
-	s, err := st.create(t.Context(), "advice", 1, stepRequest(1000, 1))
+	s, err := st.create(t.Context(), "advice", 1, stepRequest(1000, 1), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rollout/reconciler.go
+++ b/internal/rollout/reconciler.go
@@ -193,7 +193,8 @@
 }
 
 // reconcileStep moves one step forward. It ignores a conflict, which means that another host
-// did so concurrently; the next pass reads the result.
+// did so concurrently; the next pass reads the result. It leaves a step alone until this host
+// has a document as new as that of the step's acceptance.
 func (r *reconciler) reconcileStep(ctx context.Context, doc *deployment.Document, cfg deployment.Trainer, n uint64) error {
 	view, err := r.readView(ctx, n)
 	if err != nil {
@@ -202,6 +203,10 @@
 	if view.ended {
 		return r.cleanStep(ctx, view)
 	}
+	if doc.Version < view.step.ConfigVersion {
+		r.log.V(1).Info("step waits for the document of its acceptance", "step", n, "accepted_under", view.step.ConfigVersion, "document", doc.Version)
+		return nil
+	}
 	if needsRollouts(view.step.stepRow) {
 		err = r.advance(ctx, doc, cfg, &view)
 		if failure.IsKind(err, failure.Conflict) {
--- a/internal/rollout/rows.go
+++ b/internal/rollout/rows.go
@@ -32,6 +32,9 @@
 	Delivered bool `json:"delivered,omitempty"`
 	// Discarded counts the committed groups that were discarded because of their age.
 	Discarded int `json:"discarded,omitempty"`
+	// ConfigVersion is the version of the document under which the step was accepted; zero if
+	// it is not known.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// WriteID identifies the last write. It shows after a lost reply whether the write took
 	// effect.
 	WriteID string `json:"write_id"`
--- a/internal/rollout/step_test.go
+++ b/internal/rollout/step_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
+	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/trainerapi"
 )
@@ -100,7 +102,7 @@
 func TestRefusalsOfWrongInput(t *testing.T) {
 	b := newTestCluster(1, advice)
 	st := newStore(b.store, b.store)
-	h := &testHost{api: &API{docs: fakeSource{b.doc}, store: st, versions: b.versions, meters: metrics.NewSet(), stopping: func() bool { return false }}}
+	h := &testHost{api: &API{docs: newFakeSource(b.doc), store: st, versions: b.versions, meters: metrics.NewSet(), stopping: func() bool { return false }}}
 	request := func(change func(*trainerapi.StepRequest)) trainerapi.StepRequest {
 		req := stepRequest(2, 2)
 		change(&req)
@@ -133,3 +135,38 @@
 		}
 	}
 }
+
+// Guards against an owner whose document is older than the acceptance of a step: it generated
+// the whole step by the trainer's former settings.
+func TestStepIsGeneratedByTheDocumentOfItsAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(1, advice)
+		b.doc.Version = 1
+		var mu sync.Mutex
+		models := map[string]int{}
+		b.engines.length = func(req engineapi.ChatRequest) int {
+			mu.Lock()
+			defer mu.Unlock()
+			models[req.Model]++
+			return 20
+		}
+		owner, other := b.startHost(t, defaultPolicy()), b.startHostWithoutLease(t, defaultPolicy())
+		defer owner.stop()
+		defer other.stop()
+		next := testDocument(advice)
+		next.Version = 2
+		next.EnginePools["pool"] = deployment.EnginePool{Name: "pool", Model: "next"}
+		other.docs.doc.Store(next)
+		if status := other.do(t, "POST", "advice/steps/1", stepRequest(2, 3), nil); status != 202 {
+			t.Fatalf("create: status %d", status)
+		}
+		time.Sleep(2 * time.Second)
+		owner.docs.doc.Store(next)
+		other.fetch(t, 1)
+		mu.Lock()
+		defer mu.Unlock()
+		if diff := cmp.Diff(map[string]int{"next": 6}, models); diff != "" {
+			t.Errorf("generations by model: %s", diff)
+		}
+	})
+}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -49,8 +49,9 @@
 func (s step) key() string { return stepKey(s.Trainer, s.Step) }
 
 // create creates a step, or returns the existing one if it was created by an equal request. It
-// returns Conflict if the step exists with different content.
-func (st *store) create(ctx context.Context, trainer string, n uint64, req trainerapi.StepRequest) (step, error) {
+// returns Conflict if the step exists with different content. configVersion is the version of
+// the document by which the request was accepted.
+func (st *store) create(ctx context.Context, trainer string, n uint64, req trainerapi.StepRequest, configVersion uint64) (step, error) {
 	definition, err := encodeJSON(req)
 	if err != nil {
 		return step{}, err
@@ -77,6 +78,7 @@
 		DefinitionHash: hash,
 		Definition:     stored,
 		State:          trainerapi.StepRunning,
+		ConfigVersion:  configVersion,
 	}
 	active := platform.Write{Key: activeKey(trainer, n), Value: []byte("{}")}
 	created, err := st.writeStep(ctx, step{stepRow: row}, active)
