swap: send no orders to replicas of services that the configuration does not name

What callers could see: an entry of another writer with an unknown service and a known model got orders to load weights, and, while a call to it lasted, took the place of an engine that could load.

Cause: the plan took all listed replicas with models.

--- a/internal/swap/controller.go
+++ b/internal/swap/controller.go
@@ -73,9 +73,13 @@
 	Report(ctx context.Context, target fleet.Replica) (EngineReport, error)
 }
 
-// ModeSource returns the mode of load orders per model.
-type ModeSource interface {
+// Rules are what the configuration says of load orders.
+type Rules interface {
+	// SwapMode returns the mode of load orders of a model.
 	SwapMode(model string) Mode
+	// HasService reports whether the configuration has a service. Anyone may list a replica
+	// of another one.
+	HasService(service string) bool
 }
 
 // engineState is what the lease holder knows about its orders to one engine.
@@ -106,7 +110,7 @@
 	elector    *Elector
 	fleet      *fleet.Fleet
 	engines    EngineClient
-	modes      ModeSource
+	rules      Rules
 	maxLoading int
 	events     *telemetry.Recorder
 	log        logr.Logger
@@ -124,8 +128,8 @@
 // NewController returns a controller for a host. At most maxLoading engines load
 // at a time; zero means the share of the engines that MaxLoading returns. events
 // may be nil.
-func NewController(host string, elector *Elector, f *fleet.Fleet, engines EngineClient, modes ModeSource, maxLoading int, events *telemetry.Recorder, log logr.Logger) *Controller {
-	return &Controller{host: host, elector: elector, fleet: f, engines: engines, modes: modes, maxLoading: maxLoading, events: events, log: log,
+func NewController(host string, elector *Elector, f *fleet.Fleet, engines EngineClient, rules Rules, maxLoading int, events *telemetry.Recorder, log logr.Logger) *Controller {
+	return &Controller{host: host, elector: elector, fleet: f, engines: engines, rules: rules, maxLoading: maxLoading, events: events, log: log,
 		demands: map[string]Demand{}, states: map[string]*engineState{}}
 }
 
@@ -175,7 +179,7 @@
 }
 
 // step makes one plan and sends its orders, if this host holds the lease. Draining
-// engines and those that serve no model are left out.
+// engines, those that serve no model and those of unknown services are left out.
 func (c *Controller) step(ctx context.Context) {
 	fence, _, ok := c.elector.Held()
 	if !ok {
@@ -194,7 +198,7 @@
 	targets := map[string]fleet.Replica{}
 	var engines []Engine
 	for _, r := range c.fleet.List("") {
-		if len(r.Models) == 0 || r.Draining {
+		if len(r.Models) == 0 || r.Draining || !c.rules.HasService(r.Service) {
 			continue
 		}
 		targets[r.ID] = r
@@ -240,7 +244,7 @@
 	s.callInFlight = true
 	needsReport := s.needsReport
 	order := LoadOrder{
-		Model: planned.Model, Version: planned.Version, Mode: c.modes.SwapMode(planned.Model),
+		Model: planned.Model, Version: planned.Version, Mode: c.rules.SwapMode(planned.Model),
 		Holder: c.host, Fence: fence, Orders: s.acceptedOrders,
 	}
 	go func() {
--- a/internal/swap/controller_test.go
+++ b/internal/swap/controller_test.go
@@ -95,7 +95,8 @@
 
 type alwaysRetain struct{}
 
-func (alwaysRetain) SwapMode(string) Mode { return ModeRetain }
+func (alwaysRetain) SwapMode(string) Mode   { return ModeRetain }
+func (alwaysRetain) HasService(string) bool { return true }
 
 // withController runs a test with a controller that holds the lease and four engines.
 func withController(t *testing.T, test func(c *Controller, f *fakeEngines)) {
