--- a/internal/platform/provide.go
+++ b/internal/platform/provide.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"github.com/go-logr/logr"
 	"github.com/samber/do/v2"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
@@ -22,7 +23,7 @@
 		return &httpObjects{transport: do.MustInvoke[*transport](i)}, nil
 	})
 	do.Provide(i, func(i do.Injector) (Members, error) {
-		return &httpMembers{transport: do.MustInvoke[*transport](i)}, nil
+		return &httpMembers{transport: do.MustInvoke[*transport](i), log: do.MustInvoke[logr.Logger](i)}, nil
 	})
 	do.Provide(i, func(i do.Injector) (Weights, error) {
 		return &httpWeights{transport: do.MustInvoke[*transport](i)}, nil
