drain: answer what is still running at the end of the grace period

What operators of similar systems saw: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that must not be repeated.

It happens here on both adapters, to any request that runs longer than what is left of the grace period: nothing ended it, and its connection ended with the process.

The drain now has a context that ends with the grace period, on which all requests of callers depend, and waits up to 250 ms for their answers.

--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -45,7 +45,7 @@
 	r.Inbound.Header.SetNoDefaultContentType(true)
 	// The upstream gets the path unchanged: an escaped slash is not a path separator.
 	r.Inbound.URI().DisablePathNormalizing = true
-	reqCtx, cancel := context.WithTimeout(context.Background(), timeout)
+	reqCtx, cancel := context.WithTimeout(s.drain.Context(), timeout)
 	if string(ctx.Path()) == engineapi.PathChat {
 		return s.serveStreamable(ctx, reqCtx, cancel, r)
 	}
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -264,6 +264,34 @@
 	})
 }
 
+// Guards against a request that a stopping host took late and passed on, and that ended
+// without an answer at the end of the grace period: its outcome is unknown, and said to be.
+func TestStopAnswersWhatIsStillRunningAtItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, &fakeUpstreams{do: func(ctx context.Context, _ membership.Upstream, _ *fasthttp.Request, _ *fasthttp.Response) error {
+			<-ctx.Done()
+			return failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "the upstream did not answer")
+		}, generate: func(ctx context.Context, _ membership.Upstream, _ engineapi.ChatRequest, onChunk upstream.ChunkFunc) (upstream.Generation, error) {
+			got := sendChunks(5, onChunk)
+			<-ctx.Done()
+			return got, failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "the engine did not go on")
+		}})
+		f.stop()
+		// The last moment at which the host accepts.
+		time.Sleep(5900 * time.Millisecond)
+		streamed := make(chan string)
+		go func() { streamed <- f.send(t, "POST", engineapi.PathChat, chatBody, entryapi.HeaderDeadline, "1h").Body }()
+		resp := f.send(t, "POST", "/bookings/1", "{}", entryapi.HeaderDeadline, "1h")
+		if resp.StatusCode < 500 || resp.Header.Get(entryapi.HeaderOutcome) != string(failure.Unknown) {
+			t.Errorf("booking: status %d, %v", resp.StatusCode, resp.Header)
+		}
+		if body := <-streamed; !strings.Contains(body, "event: error") || strings.Contains(body, engineapi.StreamEnd) {
+			t.Error(body)
+		}
+		<-f.stopped
+	})
+}
+
 func TestStreamPastItsDeadlineEndsWithAnError(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t, &fakeUpstreams{generate: func(_ context.Context, _ membership.Upstream, _ engineapi.ChatRequest, onChunk upstream.ChunkFunc) (upstream.Generation, error) {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -12,6 +12,10 @@
 // answer that names it has expired.
 const AcceptMargin = time.Second
 
+// answerTimeout is how long the requests still in flight at the end of the grace period may
+// take to be answered.
+const answerTimeout = 250 * time.Millisecond
+
 // Announcer tells the other hosts that this host is stopping.
 type Announcer interface {
 	SetDraining()
@@ -37,6 +41,9 @@
 	log      logr.Logger
 	// grace bounds the wait for requests in flight.
 	grace time.Duration
+	// ctx and end are the context of Context and its cancellation.
+	ctx context.Context
+	end context.CancelFunc
 
 	mu       sync.Mutex
 	phase    phase
@@ -47,9 +54,14 @@
 
 // New returns a Drain that waits up to grace for requests in flight.
 func New(announcer Announcer, entryTTL func() time.Duration, log logr.Logger, grace time.Duration) *Drain {
-	return &Drain{announcer: announcer, entryTTL: entryTTL, log: log, grace: grace, idle: make(chan struct{}, 1)}
+	ctx, end := context.WithCancel(context.Background())
+	return &Drain{announcer: announcer, entryTTL: entryTTL, log: log, grace: grace, ctx: ctx, end: end, idle: make(chan struct{}, 1)}
 }
 
+// Context returns a context that ends with the grace period. A request that is in flight then
+// must be answered at once: it would end without an answer with the process.
+func (d *Drain) Context() context.Context { return d.ctx }
+
 // Begin counts a request as in flight. It returns false if new requests are
 // refused; then the caller must not call End.
 func (d *Drain) Begin() bool {
@@ -99,7 +111,8 @@
 
 // Stop announces the stop, accepts requests while callers may still use an entry
 // answer that names this host, and then waits up to the grace period for requests
-// in flight. It returns the rest of the grace period.
+// in flight. At its end it ends Context, and waits up to answerTimeout for the answers. It
+// returns the rest of the grace period.
 func (d *Drain) Stop() time.Duration {
 	ttl := d.entryTTL()
 	d.setPhase(phaseAnnounced)
@@ -110,8 +123,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.grace)
 	defer cancel()
 	began := time.Now()
-	left := d.waitIdle(ctx)
-	d.log.Info("host has drained", "requests_cut_off", left)
+	ended := d.waitIdle(ctx)
+	left := 0
+	d.end()
+	if ended > 0 {
+		answerCtx, stop := context.WithTimeout(context.Background(), answerTimeout)
+		defer stop()
+		left = d.waitIdle(answerCtx)
+	}
+	d.log.Info("host has drained", "requests_ended", ended, "requests_cut_off", left)
 	return max(d.grace-time.Since(began), 0)
 }
 
