--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -280,7 +280,9 @@
 		// The last moment at which the host accepts.
 		time.Sleep(5900 * time.Millisecond)
 		streamed := make(chan string)
-		go func() { streamed <- f.send(t, "POST", engineapi.PathChat, chatBody, entryapi.HeaderDeadline, "1h").Body }()
+		go func() {
+			streamed <- f.send(t, "POST", engineapi.PathChat, chatBody, entryapi.HeaderDeadline, "1h").Body
+		}()
 		resp := f.send(t, "POST", "/bookings/1", "{}", entryapi.HeaderDeadline, "1h")
 		if resp.StatusCode < 500 || resp.Header.Get(entryapi.HeaderOutcome) != string(failure.Unknown) {
 			t.Errorf("booking: status %d, %v", resp.StatusCode, resp.Header)
