job: keep a complete job until its trainer ends it

Only ended jobs expire now, and not before 30 s after the end was learned, so a repeated end is still answered. A complete job's rows are final only once it is ended: a host that missed the end beside a lost history never learned of it. A metric counts complete jobs past their retention that nobody ended.

--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -29,6 +29,8 @@
 	owner   OwnerRow
 	version uint64
 	ended   bool
+	// endedAt is when this process learned of the end.
+	endedAt time.Time
 	// orphanSince is the start of the current takeover delay: when this host first
 	// found the job without a live owner, or last tried to take it over. Zero while
 	// no delay runs.
@@ -113,8 +115,8 @@
 	// oldest weight version that its job allows and its number of rollouts. It must
 	// not call the Manager, which holds its lock; it may be nil.
 	OnNewStep func(model string, oldest uint64, rollouts int)
-	// Retention is how long a finished job is kept, counted from its acceptance;
-	// zero keeps it forever.
+	// Retention is how long a job that its trainer has ended is kept, counted from its
+	// acceptance; zero keeps it forever. A job that is not ended is kept until it is.
 	Retention time.Duration
 	// Events records metrics; it may be nil.
 	Events *telemetry.Recorder
@@ -159,14 +161,14 @@
 }
 
 // isFinal reports whether the rows of a job in TableJobs won't change any more until
-// they are deleted. That is known once the owner row shows that all results are
-// listed. It is not known of a job that its trainer ended, because its owner may
-// have listed more results before it saw the end.
+// they are deleted. That is known once the job is ended and its owner row shows that all
+// results are listed. It is not known of another job that its trainer ended, because its
+// owner may have listed more results before it saw the end.
 func (m *Manager) isFinal(job string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	state := m.jobs[job]
-	return state != nil && state.version > 0 && state.owner.Total > 0 && state.owner.Listed >= state.owner.Total
+	return state != nil && state.version > 0 && state.ended && state.owner.Total > 0 && state.owner.Listed >= state.owner.Total
 }
 
 // FollowConfig returns the configuration for following TableJobs. wait is the
@@ -203,7 +205,9 @@
 // observeEnd records that a job was ended, also if its owner row is not known yet. The
 // caller holds mu.
 func (m *Manager) observeEnd(job string) {
-	m.state(job).ended = true
+	if state := m.state(job); !state.ended {
+		state.ended, state.endedAt = true, time.Now()
+	}
 	if r := m.runs[job]; r != nil {
 		r.markEnded("ended by its trainer")
 	}
@@ -400,6 +404,9 @@
 // Load counts the jobs that a host runs, and their waiting and running rollouts.
 type Load struct {
 	Jobs, Waiting, Running int
+	// Unended is the number of jobs that were accepted longer ago than the retention and
+	// are complete, but that no trainer has ended. Each is counted at one host.
+	Unended int
 	// OldestAge is the time since the acceptance of the oldest job that runs here.
 	OldestAge time.Duration
 }
@@ -407,7 +414,7 @@
 // Load returns the current load of this host.
 func (m *Manager) Load() Load {
 	clock := m.storeNow()
-	var load Load
+	load := Load{Unended: m.countUnended(clock)}
 	for _, r := range m.activeRuns() {
 		r.mu.Lock()
 		load.Jobs++
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -519,6 +519,9 @@
 		over := spec("over", 4)
 		c.accept(a, over)
 		c.waitForResults(b, over, 5*time.Second)
+		if err := b.manager.End(context.Background(), over.ID); err != nil {
+			t.Fatal(err)
+		}
 		// Jobs of these hosts are kept for 90 s: a retention of 1 minute and retentionMargin.
 		time.Sleep(80 * time.Second)
 		c.waitForResults(b, over, time.Second)
--- a/internal/job/sweep.go
+++ b/internal/job/sweep.go
@@ -36,9 +36,10 @@
 	}
 }
 
-// expiredJobs returns the expired jobs that this host has to delete: those that
-// are complete or ended, do not run here, were accepted longer ago than the retention
-// plus retentionMargin, and for which this host ranks first.
+// expiredJobs returns the expired jobs that this host has to delete: those that were
+// accepted longer ago than the retention plus retentionMargin, were ended longer ago than
+// retentionMargin, do not run here, and for which this host ranks first. A complete job
+// that is not ended is open: its trainer may still read it.
 func (m *Manager) expiredJobs() []string {
 	clock := m.storeNow()
 	m.mu.Lock()
@@ -48,13 +49,33 @@
 	}
 	var old []string
 	for id, state := range m.jobs {
-		if state.version > 0 && state.owner.AcceptedMS > 0 && state.over() && m.runs[id] == nil && clock > state.owner.acceptedAt()+m.retention+retentionMargin && m.hosts.Rank(id, m.host) == 0 {
+		if state.ended && time.Since(state.endedAt) > retentionMargin && m.isOld(state, clock) && m.runs[id] == nil && m.hosts.Rank(id, m.host) == 0 {
 			old = append(old, id)
 		}
 	}
 	return old
 }
 
+// isOld reports whether a job was accepted longer ago than the retention plus
+// retentionMargin.
+func (m *Manager) isOld(state *jobState, clock time.Duration) bool {
+	return state.version > 0 && state.owner.AcceptedMS > 0 && clock > state.owner.acceptedAt()+m.retention+retentionMargin
+}
+
+// countUnended returns the number of old jobs that are complete and not ended, and for
+// which this host ranks first.
+func (m *Manager) countUnended(clock time.Duration) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for id, state := range m.jobs {
+		if !state.ended && state.over() && m.isOld(state, clock) && m.hosts.Rank(id, m.host) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // deleteJob deletes all rows of a job. The rows of TableJobs come last, because they
 // are how hosts find the job if the deletion is interrupted. A deletion of rows with an
 // unknown outcome counts as done.
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -67,8 +67,8 @@
 	// StopGrace bounds the whole stop of a host, including the drain and the handover of
 	// jobs. Default 8s.
 	StopGrace time.Duration `ini:"stop_grace" validate:"gt=0"`
-	// JobRetention is how long a job and its results are kept after the job was accepted.
-	// Default 3m.
+	// JobRetention is how long a job that its trainer has ended, and its results, are kept,
+	// counted from the acceptance. A job that is not ended is kept. Default 3m.
 	JobRetention time.Duration `ini:"job_retention" validate:"gt=0"`
 	// QuarantineTerm is how long a request that has crashed replicas is refused. Default 10m.
 	QuarantineTerm time.Duration `ini:"quarantine_term" validate:"gt=0"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,8 +80,8 @@
 	// Accept is "yes" if this host accepts and runs jobs, for which the platform needs a
 	// row store. Default "no".
 	Accept string `ini:"accept" validate:"oneof=yes no"`
-	// Retention is how long a job that has ended is kept, counted from its acceptance.
-	// Default 1h.
+	// Retention is how long a job that its trainer has ended is kept, counted from its
+	// acceptance. A job that is not ended is kept. Default 1h.
 	Retention time.Duration `ini:"retention" validate:"gt=0"`
 }
 
