job: restore no rows of a text that was dropped

What a trainer could see (VERSION): a result of an on-policy step with two weight versions, after the death of its owner.

Cause: when an engine's version changes within a rollout that one version must generate, its text is dropped and generated again. Saved rows of the dropped text stay; if the next text is saved up to one of them, a takeover appended it.

Each saved row now says how many texts were dropped before its own, and only those of the last text are restored.

--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -36,6 +36,8 @@
 	version map[string]uint64
 	// silent engines send no events; failing ones answer with a failure.
 	silent, failing map[string]bool
+	// gone engines break their streams off and can't be reached.
+	gone map[string]bool
 	// cutAt is the event after which the next attempt of a rollout breaks off, by
 	// rollout ID.
 	cutAt map[string]int
@@ -58,11 +60,15 @@
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, length: testEvents}
+	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, gone: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, length: testEvents}
 }
 
 func (e *fakeEngines) Generate(ctx context.Context, target fleet.Replica, request GenerateRequest, sink func(Event) error) error {
 	e.mu.Lock()
+	if e.gone[target.ID] {
+		e.mu.Unlock()
+		return failure.New(failure.UpstreamUnreachable, failure.NotRun, "engine %s can't be reached", target.ID)
+	}
 	version := max(1, e.version[target.ID])
 	silent, failing := e.silent[target.ID], e.failing[target.ID]
 	cut, length, interval := e.cutAt[request.Rollout.ID], e.length, eventInterval*time.Duration(max(1, e.slow[target.ID]))
@@ -108,7 +114,11 @@
 		}
 		e.mu.Lock()
 		version = max(1, e.version[target.ID])
+		gone := e.gone[target.ID]
 		e.mu.Unlock()
+		if gone {
+			return failure.New(failure.IncompleteAnswer, failure.Unknown, "engine %s is gone", target.ID)
+		}
 		if err := sink(Event{Data: eventText(request.Rollout.ID, n), Version: version}); err != nil {
 			return err
 		}
@@ -411,6 +421,18 @@
 	}
 }
 
+// setVersion makes engines use a weight version, which a host knows at once.
+func (c *cluster) setVersion(h *host, version uint64, engines ...string) {
+	c.engines.update(func(e *fakeEngines) {
+		for _, id := range engines {
+			e.version[id] = version
+		}
+	})
+	for _, id := range engines {
+		h.fleet.ObserveVersion(id, testModel, version)
+	}
+}
+
 // ownerRow returns the owner row of a job in the store, and its version.
 func (c *cluster) ownerRow(id string) (owner OwnerRow, version uint64, err error) {
 	row := c.rows.Row(ownerRowID(id))
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -148,7 +148,7 @@
 			rest = true
 			break
 		}
-		write, count, err := textWrite(r.id, task.rollout.ID, textRow{From: task.savedEvents, Events: task.events[task.savedEvents:], Failures: task.failures})
+		write, count, err := textWrite(r.id, task.rollout.ID, textRow{From: task.savedEvents, Events: task.events[task.savedEvents:], Restarts: task.restarts, Failures: task.failures})
 		if err != nil {
 			r.log.Error(err, "cannot encode text", "rollout", task.rollout.ID)
 			continue
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -244,7 +244,7 @@
 	case e.Version < r.spec.MinVersion:
 		return errStaleVersion
 	case c.rule.OnPolicy && len(task.events) > 0 && task.events[0].Version != e.Version:
-		task.events, task.savedEvents = nil, 0
+		task.dropText()
 		return errStaleVersion
 	}
 	if len(task.events) > task.eventsBefore {
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -45,7 +45,7 @@
 		rollout := &r.spec.Rollouts[i]
 		task := &rolloutTask{rollout: rollout, position: i, avoid: map[string]bool{}, waitingSince: now}
 		if t, ok := texts[rollout.ID]; ok {
-			task.events, task.savedEvents, task.failures = t.events, len(t.events), t.failures
+			task.events, task.savedEvents, task.restarts, task.failures = t.events, len(t.events), t.restarts, t.failures
 		}
 		r.tasks = append(r.tasks, task)
 		r.byID[rollout.ID] = task
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -55,6 +55,8 @@
 	events  []Event
 	// savedEvents is the number of events that are saved in the store.
 	savedEvents int
+	// restarts is the number of times that the text was dropped.
+	restarts int
 	// failures is the number of attempts to which an engine answered with a failure.
 	failures int
 	// avoid holds the IDs of engines that the next attempt should not use.
@@ -260,6 +262,12 @@
 	notify(r.wake)
 }
 
+// dropText drops the text of a rollout, which is then generated from its start.
+func (task *rolloutTask) dropText() {
+	task.events, task.savedEvents = nil, 0
+	task.restarts++
+}
+
 // completed returns the result of a rollout whose text is complete.
 func completed(events []Event, signature, scoredBy string) Result {
 	lines := make([]string, len(events))
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -240,6 +240,8 @@
 	// From is the index of the first event.
 	From   int     `json:"from"`
 	Events []Event `json:"events"`
+	// Restarts is the number of texts of the rollout that were dropped before this one.
+	Restarts int `json:"restarts,omitempty"`
 	// Failures is the number of attempts to which an engine answered with a failure.
 	Failures int `json:"failures,omitempty"`
 }
@@ -263,11 +265,13 @@
 
 // savedText is the saved progress of an unfinished rollout.
 type savedText struct {
-	events   []Event
-	failures int
+	events []Event
+	// restarts and failures are as in textRow.
+	restarts, failures int
 }
 
-// readTexts returns the saved texts of a job by rollout ID.
+// readTexts returns the saved texts of a job by rollout ID. Rows of dropped texts, which may
+// follow those of their successor, are left out.
 func (s store) readTexts(ctx context.Context, job string) (map[string]savedText, error) {
 	rows, err := follow.ReadPart(ctx, s.rows, tableTexts, job)
 	if err != nil {
@@ -281,9 +285,12 @@
 			continue
 		}
 		t := texts[row.Key[:cut]]
+		if saved.Restarts > t.restarts {
+			t.events, t.restarts = nil, saved.Restarts
+		}
 		// A row that was written late may overlap its successor or leave a gap after it.
 		// The events after a gap are left out.
-		if saved.From <= len(t.events) {
+		if saved.Restarts == t.restarts && saved.From <= len(t.events) {
 			if end := saved.From + len(saved.Events); end > len(t.events) {
 				t.events = append(t.events, saved.Events[len(t.events)-saved.From:]...)
 			}
