job: drop an on-policy text that no engine continues

Cause: such a rollout is sent only to engines with the version of its text, and nothing dropped the text once all engines had newer ones.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -552,6 +552,24 @@
 	return m.placementReplica("", medianLatency(members, now), now).Slowdown
 }
 
+// HasVersion reports whether a replica of a service that takes requests may serve a weight
+// version of a model, and whether one serves a newer version. Versions only grow, so if
+// held is false and newer is true, only a replica that comes back may serve it again. A
+// replica whose version is not known may serve any.
+func (f *Fleet) HasVersion(service, model string, version uint64) (held, newer bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.membersOf(service, time.Now()) {
+		if m.draining() {
+			continue
+		}
+		has := max(m.Models[model], m.observedVersions[model])
+		held = held || has == version || has == 0
+		newer = newer || has > version
+	}
+	return held, newer
+}
+
 // LastEventAt returns when a replica last sent an event of a stream to this host;
 // zero if it never did.
 func (f *Fleet) LastEventAt(id string) time.Time {
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -21,6 +21,10 @@
 	watchInterval = 50 * time.Millisecond
 	// queueAfter is how long a rollout waits for a free slot before it may queue at a full engine.
 	queueAfter = 300 * time.Millisecond
+	// maxVersionWait is how long a text waits for an engine with its weight version, if one
+	// version must generate it, while others have newer ones. Generating it again takes
+	// about as long.
+	maxVersionWait = 3 * time.Second
 	// tokensPerEvent converts a length hint, in tokens, into events.
 	tokensPerEvent = 50
 	// defaultLengthEvents is the expected number of events of a rollout without a length hint.
@@ -136,6 +140,9 @@
 				r.giveUpLocked(task, "the configuration has no route for the job")
 				continue
 			}
+			if rule.OnPolicy {
+				r.dropBlockedTextLocked(task, rule.Service)
+			}
 			candidates = append(candidates, candidate{run: r, task: task, rule: rule})
 			waiting = append(waiting, WaitingRollout{
 				Priority: rule.Priority, Deadline: int64(r.owner.acceptedAt() + rule.RunDeadline), Carried: task.carried,
@@ -155,6 +162,24 @@
 	return defaultLengthEvents
 }
 
+// dropBlockedTextLocked drops the text of a waiting rollout, which one weight version must
+// generate, if engines have gone on to newer versions and none has the text's version, or
+// none of those has continued it for maxVersionWait. The caller holds mu.
+func (r *jobRun) dropBlockedTextLocked(task *rolloutTask, service string) {
+	if len(task.events) == 0 {
+		return
+	}
+	version := task.events[0].Version
+	held, newer := r.m.fleet.HasVersion(service, r.spec.Model, version)
+	waited := time.Since(task.textAt)
+	if !newer || held && waited < maxVersionWait {
+		return
+	}
+	r.m.events.Event("text_dropped")
+	r.log.Info("text dropped, because no engine continues it", "rollout", task.rollout.ID, "events", len(task.events), "weight_version", version, "held", held, "waited", waited)
+	task.dropText()
+}
+
 // logMissingRuleLocked logs once that the run waits for a configuration. The caller holds mu.
 func (r *jobRun) logMissingRuleLocked() {
 	if r.missingRuleLogged {
@@ -253,7 +278,7 @@
 		r.m.events.FirstByte(telemetry.Rollout, now.Sub(task.lastEvent))
 	}
 	task.events = append(task.events, e)
-	task.lastEvent = now
+	task.lastEvent, task.textAt = now, now
 	return nil
 }
 
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -43,7 +43,7 @@
 	now := time.Now()
 	for i := range r.spec.Rollouts {
 		rollout := &r.spec.Rollouts[i]
-		task := &rolloutTask{rollout: rollout, position: i, avoid: map[string]bool{}, waitingSince: now}
+		task := &rolloutTask{rollout: rollout, position: i, avoid: map[string]bool{}, waitingSince: now, textAt: now}
 		if t, ok := texts[rollout.ID]; ok {
 			task.events, task.savedEvents, task.restarts, task.failures = t.events, len(t.events), t.restarts, t.failures
 		}
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -53,6 +53,8 @@
 	// carried is true if an earlier job has text or a result of the rollout.
 	carried bool
 	events  []Event
+	// textAt is when events last grew here.
+	textAt time.Time
 	// savedEvents is the number of events that are saved in the store.
 	savedEvents int
 	// restarts is the number of times that the text was dropped.
