limit: do not grow while the upstream reports a queue

Cause: a report of a queue discards the base latency, so the windows until the next report take the queueing time for normal, and raise the limit into the queue.

TestLimitDoesNotGrowWhileAQueueIsReported failed before.

--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -40,6 +40,9 @@
 	slowStartFactor = 2
 	// minIncrease is the smallest increase of the limit after that, in requests.
 	minIncrease = 0.5
+	// overloadReportAge is how long a report of a queue holds back the growth of the limit
+	// if no other report follows.
+	overloadReportAge = 5 * time.Second
 	// recoveryShare is the share of the difference to the sustained limit by
 	// which one increase raises the limit.
 	recoveryShare = 0.25
@@ -72,6 +75,9 @@
 	windowCount    int // windows closed since ObserveOverload last discarded them
 	// lastFailure is when a failure last counted.
 	lastFailure time.Time
+	// overloadedUntil is the time until which the upstream counts as overloaded by its
+	// last report.
+	overloadedUntil time.Time
 }
 
 // New returns a limit of at most ceiling, but at least one. It starts at
@@ -113,7 +119,7 @@
 	a.samples++
 	a.peakInFlight = max(a.peakInFlight, inFlight)
 	if a.samples >= minWindowSamples && now.Sub(a.windowStart) >= a.window() && (a.preciseEnough() || now.Sub(a.windowStart) >= maxNoisyWindow) {
-		a.closeWindow()
+		a.closeWindow(now)
 	}
 }
 
@@ -139,8 +145,9 @@
 
 // closeWindow adjusts the limit to the window's mean latency and starts a new
 // window. A difference within the standard error counts neither as a slowdown
-// nor as a lower base latency.
-func (a *Adaptive) closeWindow() {
+// nor as a lower base latency. While the upstream counts as overloaded the limit does not
+// grow: the windows hold the latency of a queue, so they don't show one.
+func (a *Adaptive) closeWindow(now time.Time) {
 	average, standardError := a.average()
 	base := a.BaseLatency().Seconds()
 	a.windowAverages[a.windowCount%baseWindows] = seconds(average + standardError)
@@ -151,7 +158,7 @@
 	case base > 0 && lowest > minShrinkRatio*base:
 		a.shrink(max(minShrinkFactor, maxGrowRatio*base/lowest))
 		a.sustained = a.limit
-	case a.slowed:
+	case a.slowed || now.Before(a.overloadedUntil):
 	case float64(a.peakInFlight) >= a.limit-1:
 		a.grow()
 	}
@@ -189,12 +196,17 @@
 
 // ObserveOverload shrinks the limit after a report that the upstream has more
 // requests, from all hosts, than it runs at once. It discards the base latency,
-// which may include the time in the upstream's queue.
-func (a *Adaptive) ObserveOverload(slots, requests int) {
+// which may include the time in the upstream's queue. The limit does not grow until
+// ObserveNoOverload is called, or overloadReportAge after now.
+func (a *Adaptive) ObserveOverload(slots, requests int, now time.Time) {
+	a.overloadedUntil = now.Add(overloadReportAge)
 	a.shrink(max(minShrinkFactor, float64(slots)/float64(requests)))
 	a.windowCount = 0
 }
 
+// ObserveNoOverload lets the limit grow again after a report without a long queue.
+func (a *Adaptive) ObserveNoOverload() { a.overloadedUntil = time.Time{} }
+
 // ObserveSpare raises the limit after a report that the upstream has free slots and no
 // queue, and runs running requests, if inFlight requests of this host use up the limit
 // and the last window was not slowed. A limit that failures have reduced would otherwise
--- a/internal/limit/adaptive_test.go
+++ b/internal/limit/adaptive_test.go
@@ -133,3 +133,36 @@
 		})
 	}
 }
+
+// Guards against growth between two reports of a queue, whose latency had become the base
+// latency: 13 hosts filled a queue of half the slots of a replica.
+func TestLimitDoesNotGrowWhileAQueueIsReported(t *testing.T) {
+	const slots, requests = 64, 70
+	now := time.Now()
+	a := New(64)
+	window := func() {
+		for range 2 * minWindowSamples {
+			now = now.Add(maxWindow / minWindowSamples)
+			a.ObserveLatency(100*time.Millisecond, a.Limit(), now)
+		}
+	}
+	a.ObserveOverload(slots, requests, now)
+	reported := a.limit
+	window()
+	window()
+	if a.limit > reported {
+		t.Errorf("the limit has grown from %v to %v while a queue is reported", reported, a.limit)
+	}
+	a.ObserveNoOverload()
+	window()
+	if a.limit <= reported {
+		t.Errorf("the limit is still %v after a report without a queue", a.limit)
+	}
+	a.ObserveOverload(slots, requests, now)
+	reported = a.limit
+	now = now.Add(overloadReportAge)
+	window()
+	if a.limit <= reported {
+		t.Errorf("the limit is still %v after no report for %s", a.limit, overloadReportAge)
+	}
+}
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -101,8 +101,11 @@
 		busy := float64(report.Waiting) > 1+engineQueueShare*float64(report.Slots)
 		r.limit.ObserveQueue(busy, r.view.InFlight())
 	case float64(report.Waiting) > serviceQueueShare*float64(report.Slots):
-		r.limit.ObserveOverload(report.Slots, report.Running+report.Waiting)
-	case report.Waiting == 0 && float64(report.Slots-report.Running) > minSpareShare*float64(report.Slots):
-		r.limit.ObserveSpare(report.Slots-report.Running, report.Running, r.view.InFlight())
+		r.limit.ObserveOverload(report.Slots, report.Running+report.Waiting, now)
+	default:
+		r.limit.ObserveNoOverload()
+		if report.Waiting == 0 && float64(report.Slots-report.Running) > minSpareShare*float64(report.Slots) {
+			r.limit.ObserveSpare(report.Slots-report.Running, report.Running, r.view.InFlight())
+		}
 	}
 }
