callers: read headers of up to 64 KiB

Cause: the buffer of the HTTP library bounds the headers, and its default was used.

TestLongHeadersAreAccepted failed before for the own interface (its limit was 4,096 bytes), and its error names the limit now.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -34,6 +34,9 @@
 	// defaultMaxBodyBytes is the limit of a request body in bytes while the host has no
 	// deployment document.
 	defaultMaxBodyBytes = 1 << 20
+	// maxHeaderBytes is the limit of the headers of a request in bytes. It bounds the memory
+	// for reading a request.
+	maxHeaderBytes = 64 << 10
 	// closeTimeout is the minimum time for writing responses after the drain.
 	closeTimeout = 5 * time.Second
 )
@@ -63,10 +66,13 @@
 func New(id string, log logr.Logger, source deployment.Source, hostDrain *drain.Drain, entryAnswers *entry.HostSelector, handler filter.Handler) *Server {
 	s := &Server{id: id, log: log, source: source, drain: hostDrain, entry: entryAnswers, handler: handler}
 	s.http = &fasthttp.Server{
-		Name:                 "sapphirehatch",
-		Handler:              s.serve,
-		ErrorHandler:         s.handleReadError,
-		HeaderReceived:       s.requestConfig,
+		Name:           "sapphirehatch",
+		Handler:        s.serve,
+		ErrorHandler:   s.handleReadError,
+		HeaderReceived: s.requestConfig,
+		ReadBufferSize: maxHeaderBytes,
+		// Only connections on which a request is being read hold a buffer.
+		ReduceMemoryUsage:    true,
 		ReadTimeout:          readTimeout,
 		IdleTimeout:          idleTimeout,
 		MaxRequestBodySize:   defaultMaxBodyBytes,
@@ -191,7 +197,8 @@
 		return failure.Wrap(err, failure.BodyTooLarge, failure.NotRun, "the request body is too large").
 			WithField("body").WithLimit(formatBytes(maxBody))
 	case errors.As(err, &smallBuffer):
-		return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the request headers are too large").WithField("header")
+		return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the request headers are too large").
+			WithField("header").WithLimit(formatBytes(maxHeaderBytes))
 	case errors.As(err, &timeoutErr) && timeoutErr.Timeout():
 		return failure.Wrap(err, failure.DeadlineExceeded, failure.NotRun, "the request was not received in time").
 			WithLimit(readTimeout.String())
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -294,6 +294,24 @@
 	})
 }
 
+// Guards against a fixed limit of 4,096 bytes, which callers with long tokens exceed.
+func TestLongHeadersAreAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, &fakeUpstreams{do: func(_ context.Context, _ membership.Upstream, req *fasthttp.Request, resp *fasthttp.Response) error {
+			resp.SetBody(req.Header.Peek("X-Long"))
+			return nil
+		}})
+		long := strings.Repeat("a", 60_000)
+		if resp := f.send(t, "GET", "/specs/1", "", "X-Long", long); resp.StatusCode != 200 || resp.Body != long {
+			t.Errorf("status %d, %d bytes", resp.StatusCode, len(resp.Body))
+		}
+		resp := f.send(t, "GET", "/specs/1", "", "X-Long", strings.Repeat("a", maxHeaderBytes))
+		if resp.StatusCode != 400 || !strings.Contains(resp.Body, "65536 bytes") {
+			t.Errorf("headers above the limit: status %d, %s", resp.StatusCode, resp.Body)
+		}
+	})
+}
+
 func TestStreamPastItsDeadlineEndsWithAnError(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t, &fakeUpstreams{generate: func(_ context.Context, _ membership.Upstream, _ engineapi.ChatRequest, onChunk upstream.ChunkFunc) (upstream.Generation, error) {
