fleet: let a refusal not shorten a longer pause

What replicas saw: an engine that loads weights, or a replica in backoff after several failures, got requests again 150 ms after a refusal.

Cause: RecordRefusal set the end of the pause, whatever it was.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -472,14 +472,14 @@
 }
 
 // RecordRefusal records that a replica refused a request and starts a backoff: of
-// the model, or of the whole replica if model is empty.
+// the model, or of the whole replica if model is empty. A longer pause goes on.
 func (f *Fleet) RecordRefusal(id, model string) {
 	f.update(id, func(m *member) (freesSlot bool) {
 		until := time.Now().Add(refusalBackoff)
 		if model == "" {
-			m.retryAt = until
+			m.retryAt = lo.Latest(m.retryAt, until)
 		} else {
-			m.refusedUntil[model] = until
+			m.refusedUntil[model] = lo.Latest(m.refusedUntil[model], until)
 		}
 		return false
 	})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -216,3 +216,31 @@
 		})
 	}
 }
+
+// Guards against a refusal that shortened a longer pause: an engine that loads weights, or that
+// failed again and again, got requests every 150 ms.
+func TestRefusalDoesNotShortenALongerPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(logr.Discard())
+		f.Put(Replica{ID: "r", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 1}})
+		plain, model := Requirements{Service: "s"}, Requirements{Service: "s", Model: "m"}
+		f.PauseModel("r", "m", 2*time.Second)
+		f.RecordRefusal("r", "m")
+		time.Sleep(time.Second)
+		if _, err := f.Reserve(model); err == nil {
+			t.Error("the replica got a request of the model during its pause")
+		}
+		time.Sleep(time.Second)
+		if _, err := f.Reserve(model); err != nil {
+			t.Errorf("after the pause: %v", err)
+		}
+		for range 4 {
+			f.RecordFailure("r")
+		}
+		f.RecordRefusal("r", "")
+		time.Sleep(time.Second)
+		if _, err := f.Reserve(plain); err == nil {
+			t.Error("the replica got a request during its backoff")
+		}
+	})
+}
