--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -21,6 +21,9 @@
 	// takeoverRankDelay is the extra time that a host waits before it takes a job
 	// over, for each live host that ranks before it.
 	takeoverRankDelay = 400 * time.Millisecond
+	// takeoverRetryDelay is the time after which a host tries a takeover again without an
+	// answer to the first try, whose connection to the store may be silent.
+	takeoverRetryDelay = 400 * time.Millisecond
 )
 
 // jobState is what this host knows of a job from the change feed of TableJobs and from
@@ -35,6 +38,8 @@
 	// found the job without a live owner, or last tried to take it over. Zero while
 	// no delay runs.
 	orphanSince time.Time
+	// takeoverAt is when this host last began to take the job over.
+	takeoverAt time.Time
 }
 
 // over reports whether no run of the job is needed any more. The owner row must be known.
@@ -331,12 +336,13 @@
 func (m *Manager) takeOver(ctx context.Context, id string) {
 	m.mu.Lock()
 	state := m.jobs[id]
-	if state == nil || m.runs[id] != nil || m.owns(state.owner) {
+	if state == nil || m.runs[id] != nil || m.owns(state.owner) || time.Since(state.takeoverAt) < takeoverRetryDelay {
 		m.mu.Unlock()
 		return
 	}
 	// Restart the delay of this host's rank, counted from this attempt.
-	state.orphanSince = time.Now()
+	state.takeoverAt = time.Now()
+	state.orphanSince = state.takeoverAt
 	owner, version := state.owner, state.version
 	feedAge := time.Since(m.syncedAt)
 	m.mu.Unlock()
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -611,3 +611,20 @@
 		}
 	})
 }
+
+// Guards against a host that began another takeover of a job in each pass over the jobs while
+// the store was slow. It tries again meanwhile, because a connection may be silent, but not
+// more often than every takeoverRetryDelay.
+func TestTakeoversInASlowStoreAreFew(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		_, owner, other := c.startWithJob(20, "a", "a", "b")
+		time.Sleep(300 * time.Millisecond)
+		const writeTime = time.Second
+		other.rows.SlowWrites(TableJobs, writeTime, 0)
+		owner.kill()
+		time.Sleep(6 * time.Second)
+		if n, most := other.rows.MaxSlowWrites(), int(writeTime/takeoverRetryDelay)+1; n > most {
+			t.Errorf("%d writes to the owner row at once, want at most %d", n, most)
+		}
+	})
+}
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -191,6 +191,8 @@
 	writeDelay    time.Duration
 	// slow holds the delays of the transactions that write to a table.
 	slow map[string]slowness
+	// slowInFlight is the number of them in flight, and maxSlowInFlight the most so far.
+	slowInFlight, maxSlowInFlight int
 	// pending counts the delayed transactions.
 	pending      sync.WaitGroup
 	changesCalls int
@@ -246,6 +248,22 @@
 	c.slow = map[string]slowness{table: {before, after}}
 }
 
+// MaxSlowWrites returns the largest number of transactions delayed by SlowWrites that were
+// in flight at once.
+func (c *RowsClient) MaxSlowWrites() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.maxSlowInFlight
+}
+
+// countSlow adds to the number of delayed transactions in flight.
+func (c *RowsClient) countSlow(by int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slowInFlight += by
+	c.maxSlowInFlight = max(c.maxSlowInFlight, c.slowInFlight)
+}
+
 // WaitForDelayedWrites waits until all delayed transactions have been executed.
 func (c *RowsClient) WaitForDelayedWrites() { c.pending.Wait() }
 
@@ -396,6 +414,10 @@
 		// All rows of a transaction are in one part.
 		time.Sleep(time.Until(c.rows.reserveWrite(tx.Writes[0].Part)))
 	}
+	if slow != (slowness{}) {
+		c.countSlow(1)
+		defer c.countSlow(-1)
+	}
 	time.Sleep(slow.before)
 	c.rows.mu.Lock()
 	result, err := c.rows.apply(tx)
