job: repeat a deletion of rows whose outcome is unknown

What operators could see: rows of an expired job that stay in the store for ever.

Cause: a deletion in doubt counted as done, and the row by which hosts find the job was deleted next.

--- a/internal/job/sweep.go
+++ b/internal/job/sweep.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/follow"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
@@ -77,8 +76,7 @@
 }
 
 // deleteJob deletes all rows of a job. The rows of TableJobs come last, because they
-// are how hosts find the job if the deletion is interrupted. A deletion of rows with an
-// unknown outcome counts as done.
+// are how hosts find the job if the deletion is interrupted.
 func (m *Manager) deleteJob(ctx context.Context, id string) error {
 	for _, table := range []string{tableTexts, tableResults, tableSpecs, TableJobs} {
 		rows, err := follow.ReadPart(ctx, m.store.rows, table, id)
@@ -91,7 +89,7 @@
 				tx.Writes = append(tx.Writes, platform.RowWrite{RowID: row.RowID, Delete: true})
 			}
 			rows = rows[len(tx.Writes):]
-			if _, err := m.store.rows.Commit(ctx, tx); err != nil && !failure.IsKind(err, failure.StoreInDoubt) {
+			if _, err := m.store.rows.Commit(ctx, tx); err != nil {
 				return err
 			}
 		}
--- a/internal/job/sweep_test.go
+++ b/internal/job/sweep_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
 // Guards against the deletion of a complete job that its trainer has not ended: a trainer that
@@ -65,3 +66,45 @@
 		}
 	})
 }
+
+// losingStore loses the transactions that write to a table, while lose is set.
+type losingStore struct {
+	platform.RowStore
+	table string
+	lose  bool
+}
+
+func (s *losingStore) Commit(ctx context.Context, tx platform.RowTransaction) (platform.CommitResult, error) {
+	if s.lose && tx.Writes[0].Table == s.table {
+		return platform.CommitResult{}, failure.New(failure.StoreInDoubt, "", "the store did not answer")
+	}
+	return s.RowStore.Commit(ctx, tx)
+}
+
+// Guards against a deletion in doubt that counted as done: the rows stayed for ever, because
+// the row by which hosts find the job was deleted next.
+func TestDeletionInDoubtIsRepeated(t *testing.T) {
+	for _, table := range []string{tableTexts, tableResults, tableSpecs, TableJobs} {
+		withCluster(t, func(c *cluster) {
+			s, a, b := c.startWithJob(4, "a", "a", "b")
+			time.Sleep(6 * eventInterval)
+			saveNow(a, s.ID)
+			c.waitForResults(b, s, 5*time.Second)
+			if err := b.manager.End(context.Background(), s.ID); err != nil {
+				t.Fatal(err)
+			}
+			rows := &losingStore{RowStore: a.rows, table: table, lose: true}
+			m := &Manager{store: store{rows}}
+			if err := m.deleteJob(context.Background(), s.ID); err == nil {
+				t.Errorf("%s: a deletion in doubt counts as done", table)
+			}
+			rows.lose = false
+			if err := m.deleteJob(context.Background(), s.ID); err != nil {
+				t.Error(err)
+			}
+			if left := c.rows.Count(s.ID); left != 0 {
+				t.Errorf("%s: %d rows of a deleted job are left", table, left)
+			}
+		})
+	}
+}
