job: save texts and hand over despite an event larger than a row

What trainers could see: after an event above 64 KiB no text of the job was saved, and a stopping host did not hand the job over, so all its items began anew elsewhere.

Cause: the store refuses a larger row, and the whole transaction was tried again for ever. The rest of such a text is now left out.

--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -55,6 +55,8 @@
 	slow map[string]int
 	// length is the number of events of each rollout.
 	length int
+	// pad is added to the data of each event of a rollout, by rollout ID.
+	pad map[string]string
 	// slots is the semaphore of an engine's attempts; a missing one sets no limit.
 	slots map[string]chan struct{}
 }
@@ -119,7 +121,7 @@
 		if gone {
 			return failure.New(failure.IncompleteAnswer, failure.Unknown, "engine %s is gone", target.ID)
 		}
-		if err := sink(Event{Data: eventText(request.Rollout.ID, n), Version: version}); err != nil {
+		if err := sink(Event{Data: eventText(request.Rollout.ID, n) + e.pad[request.Rollout.ID], Version: version}); err != nil {
 			return err
 		}
 		if n == cut {
@@ -149,7 +151,7 @@
 func (c *cluster) fullText(rollout string) string {
 	lines := make([]string, c.engines.length)
 	for i := range lines {
-		lines[i] = eventText(rollout, i+1)
+		lines[i] = eventText(rollout, i+1) + c.engines.pad[rollout]
 	}
 	return strings.Join(lines, "\n")
 }
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -141,7 +141,7 @@
 	var marks []mark
 	size := 0
 	for _, task := range r.tasks {
-		if task.state == taskListed || len(task.events) <= task.savedEvents {
+		if task.state == taskListed || task.unsavable || len(task.events) <= task.savedEvents {
 			continue
 		}
 		if len(tx.Writes) >= platform.MaxTransactionRows-2 || size > maxCommitBytes-maxValueBytes {
@@ -153,6 +153,11 @@
 			r.log.Error(err, "cannot encode text", "rollout", task.rollout.ID)
 			continue
 		}
+		if count == 0 {
+			task.unsavable = true
+			r.log.Info("rest of a text is not saved, its next event is larger than a row", "rollout", task.rollout.ID, "saved", task.savedEvents)
+			continue
+		}
 		rest = rest || task.savedEvents+count < len(task.events)
 		tx.Writes = append(tx.Writes, write)
 		size += len(write.Value)
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -57,6 +57,9 @@
 	textAt time.Time
 	// savedEvents is the number of events that are saved in the store.
 	savedEvents int
+	// unsavable is true once the next event to save turned out to be larger than a row. The
+	// rest of the text is then not saved: after a takeover it is generated again.
+	unsavable bool
 	// restarts is the number of times that the text was dropped.
 	restarts int
 	// failures is the number of attempts to which an engine answered with a failure.
@@ -266,7 +269,7 @@
 
 // dropText drops the text of a rollout, which is then generated from its start.
 func (task *rolloutTask) dropText() {
-	task.events, task.savedEvents = nil, 0
+	task.events, task.savedEvents, task.unsavable = nil, 0, false
 	task.restarts++
 }
 
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -247,7 +247,8 @@
 }
 
 // textWrite returns the write of a row of saved events and the number of events in
-// it. It halves the events until the row is small enough or has one event.
+// it. It halves the events until the row is small enough; the number is zero if the first
+// event alone is too large.
 func textWrite(job, rollout string, s textRow) (platform.RowWrite, int, error) {
 	value, err := json.Marshal(s)
 	if err != nil {
@@ -259,6 +260,9 @@
 			return platform.RowWrite{}, 0, failure.Wrap(err, failure.Internal, "", "cannot encode saved text")
 		}
 	}
+	if len(value) > maxValueBytes {
+		return platform.RowWrite{}, 0, nil
+	}
 	id := platform.RowID{Table: tableTexts, Part: job, Key: fmt.Sprintf("%s/%08d", rollout, s.From)}
 	return platform.RowWrite{RowID: id, Value: value}, len(s.Events), nil
 }
