rollout: start nothing that its owner has settled

What engines saw, on the product's own adapter: a rollout whose start call had timed out and arrived after its owner had settled it ran for nobody, for up to 5 s.

Cause: the host that runs it forgot a settled rollout at once. TestStartThatArrivesAfterItsEndRunsNothing failed before.

--- a/internal/rollout/remote_test.go
+++ b/internal/rollout/remote_test.go
@@ -117,3 +117,39 @@
 		}
 	})
 }
+
+// Guards against the start of a rollout that arrives after its owner has settled it, because
+// the start call had timed out: it ran for nobody until it had not been polled for a while.
+func TestStartThatArrivesAfterItsEndRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(1, advice)
+		h := b.startHostWithoutLease(t, defaultPolicy())
+		defer h.stop()
+		late := job{Pool: "pool", Chat: engineapi.ChatRequest{RequestID: "late", Model: "model", MaxTokens: 1000}}
+		start, err := encodeMsgpack(startCall{Jobs: []job{late}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		settled, err := encodeMsgpack(pollCall{Settled: []string{"late"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := h.worker.handlePoll(t.Context(), "owner", settled); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := h.worker.handleStart(t.Context(), "owner", start); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if n := h.worker.count() + b.engines.count(); n != 0 {
+			t.Error("a settled rollout was started")
+		}
+		// The record of it is kept for a limited time only.
+		time.Sleep(3 * peerSilenceTimeout)
+		h.worker.mu.Lock()
+		defer h.worker.mu.Unlock()
+		if len(h.worker.settled) > 0 {
+			t.Errorf("%d settled rollouts are still recorded", len(h.worker.settled))
+		}
+	})
+}
--- a/internal/rollout/worker.go
+++ b/internal/rollout/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,9 @@
 
 	mu   sync.Mutex
 	jobs map[string]*workerJob
+	// settled holds when an owner settled a job, by request id, for peerSilenceTimeout. The
+	// call that starts the job may arrive later.
+	settled map[string]time.Time
 	// ended is closed and replaced when a job ends.
 	ended chan struct{}
 	// stopping is true once new jobs are refused.
@@ -32,7 +36,7 @@
 }
 
 func newWorker(r *localRunner) *worker {
-	return &worker{runner: r, jobs: map[string]*workerJob{}, ended: make(chan struct{})}
+	return &worker{runner: r, jobs: map[string]*workerJob{}, settled: map[string]time.Time{}, ended: make(chan struct{})}
 }
 
 // run cancels jobs that are no longer polled, until ctx ends. Then it cancels all jobs and
@@ -76,7 +80,8 @@
 	return len(w.jobs)
 }
 
-// dropUnpolled cancels and forgets the jobs that were last polled before the given time.
+// dropUnpolled cancels and forgets the jobs that were last polled before the given time, and
+// forgets which jobs were settled before it.
 func (w *worker) dropUnpolled(before time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -85,6 +90,7 @@
 			w.drop(id, j)
 		}
 	}
+	maps.DeleteFunc(w.settled, func(_ string, at time.Time) bool { return at.Before(before) })
 }
 
 // drop cancels and forgets a job; w.mu is held.
@@ -105,7 +111,9 @@
 		return nil, failure.New(failure.PeerUnreachable, failure.NotRun, "this host is stopping")
 	}
 	for _, j := range call.Jobs {
-		if _, known := w.jobs[j.Chat.RequestID]; !known {
+		_, known := w.jobs[j.Chat.RequestID]
+		_, settled := w.settled[j.Chat.RequestID]
+		if !known && !settled {
 			w.start(j)
 		}
 	}
@@ -163,6 +171,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, id := range call.Settled {
+		w.settled[id] = time.Now()
 		if j, ok := w.jobs[id]; ok {
 			w.drop(id, j)
 		}
