--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -22,8 +22,7 @@
 	// queueAfter is how long a rollout waits for a free slot before it may queue at a full engine.
 	queueAfter = 300 * time.Millisecond
 	// maxVersionWait is how long a text waits for an engine with its weight version, if one
-	// version must generate it, while others have newer ones. Generating it again takes
-	// about as long.
+	// version must generate it, while others have newer ones.
 	maxVersionWait = 3 * time.Second
 	// tokensPerEvent converts a length hint, in tokens, into events.
 	tokensPerEvent = 50
