--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -302,11 +302,11 @@
 			return nil
 		}})
 		long := strings.Repeat("a", 60_000)
-		if resp := f.send(t, "GET", "/specs/1", "", "X-Long", long); resp.StatusCode != 200 || resp.Body != long {
+		if resp := f.send(t, "GET", "/specs/1", "", "X-Long", long); resp.StatusCode != http.StatusOK || resp.Body != long {
 			t.Errorf("status %d, %d bytes", resp.StatusCode, len(resp.Body))
 		}
 		resp := f.send(t, "GET", "/specs/1", "", "X-Long", strings.Repeat("a", maxHeaderBytes))
-		if resp.StatusCode != 400 || !strings.Contains(resp.Body, "65536 bytes") {
+		if resp.StatusCode != http.StatusBadRequest || !strings.Contains(resp.Body, "65536 bytes") {
 			t.Errorf("headers above the limit: status %d, %s", resp.StatusCode, resp.Body)
 		}
 	})
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -423,8 +423,9 @@
 	}
 }
 
-// setVersion makes engines use a weight version, which a host knows at once.
-func (c *cluster) setVersion(h *host, version uint64, engines ...string) {
+// useVersion2 makes engines use weight version 2, which a host knows at once.
+func (c *cluster) useVersion2(h *host, engines ...string) {
+	const version = 2
 	c.engines.update(func(e *fakeEngines) {
 		for _, id := range engines {
 			e.version[id] = version
--- a/internal/job/on_policy_test.go
+++ b/internal/job/on_policy_test.go
@@ -17,7 +17,7 @@
 		// The other engines finish their rollouts and load the next version. Then the slow one
 		// is gone for good in the middle of its own.
 		time.Sleep(12 * eventInterval)
-		c.setVersion(a, 2, "e2", "e3")
+		c.useVersion2(a, "e2", "e3")
 		c.engines.update(func(e *fakeEngines) { e.gone["e1"] = true })
 		a.fleet.Remove("e1")
 		again := 0
@@ -46,7 +46,7 @@
 		time.Sleep(5 * eventInterval)
 		c.engines.update(func(e *fakeEngines) { e.gone["e1"] = true })
 		a.fleet.Remove("e1")
-		c.setVersion(a, 2, "e3")
+		c.useVersion2(a, "e3")
 		for _, r := range c.waitForResults(a, s, 8*time.Second) {
 			if len(r.Versions) != 1 {
 				t.Errorf("rollout %s is of versions %v", r.ID, r.Versions)
@@ -74,7 +74,7 @@
 		s := spec("job", 6)
 		c.accept(a, s)
 		time.Sleep(12 * eventInterval)
-		c.setVersion(a, 2, "e2", "e3")
+		c.useVersion2(a, "e2", "e3")
 		c.engines.update(func(e *fakeEngines) { e.gone["e1"] = true })
 		for _, r := range c.waitForResults(a, s, 6*time.Second) {
 			if len(r.Versions) != 1 {
--- a/internal/job/restore_test.go
+++ b/internal/job/restore_test.go
@@ -17,7 +17,7 @@
 			saveNow(owner, s.ID)
 		}
 		// The next event is of another version, so the text is dropped.
-		c.setVersion(owner, 2, "e1", "e2", "e3")
+		c.useVersion2(owner, "e1", "e2", "e3")
 		other.fleet.ObserveVersion("e1", testModel, 2)
 		time.Sleep(8 * eventInterval)
 		saveNow(owner, s.ID)
--- a/scenario/host_test.go
+++ b/scenario/host_test.go
@@ -27,8 +27,17 @@
 	next int
 }
 
-// freePort returns a 127.0.0.1:port that is free for TCP and UDP.
+// freePort returns the result of unusedAddress and fails the script if there is none.
 func freePort(ts *testscript.TestScript) string {
+	address, ok := unusedAddress()
+	if !ok {
+		ts.Fatalf("no free port")
+	}
+	return address
+}
+
+// unusedAddress returns a 127.0.0.1:port that is free for TCP and UDP.
+func unusedAddress() (address string, ok bool) {
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
 	base := firstPort + os.Getpid()%portRuns*portsPerRun
@@ -37,11 +46,10 @@
 		ports.next++
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		if canBind(address) {
-			return address
+			return address, true
 		}
 	}
-	ts.Fatalf("no free port in %d to %d", base, base+portsPerRun)
-	return ""
+	return "", false
 }
 
 func canBind(address string) bool {
