--- a/scenario/host_test.go
+++ b/scenario/host_test.go
@@ -27,17 +27,8 @@
 	next int
 }
 
-// freePort returns the result of unusedAddress and fails the script if there is none.
+// freePort returns a 127.0.0.1:port that is free for TCP and UDP.
 func freePort(ts *testscript.TestScript) string {
-	address, ok := unusedAddress()
-	if !ok {
-		ts.Fatalf("no free port")
-	}
-	return address
-}
-
-// unusedAddress returns a 127.0.0.1:port that is free for TCP and UDP.
-func unusedAddress() (address string, ok bool) {
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
 	base := firstPort + os.Getpid()%portRuns*portsPerRun
@@ -46,10 +37,11 @@
 		ports.next++
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		if canBind(address) {
-			return address, true
+			return address
 		}
 	}
-	return "", false
+	ts.Fatalf("no free port in %d to %d", base, base+portsPerRun)
+	return ""
 }
 
 func canBind(address string) bool {
