fleet: read load reports with a fourth figure

Cause: a load report with four figures was ignored as a whole, so a deployment whose replicas send the work time of their machine ran without any load report. The fleet keeps it with its age and logs it with the estimate by which a replica was chosen. It is not used in a decision yet. Measured: go test of internal/fleet, internal/gateway, internal/job and platform passes.

--- a/internal/fleet/burst_test.go
+++ b/internal/fleet/burst_test.go
@@ -78,7 +78,7 @@
 						n++
 						wait.Go(func() {
 							engines[r.ID].run(answer, func(running, waiting int) {
-								owner.ObserveLoad(r.ID, running, waiting, 16)
+								owner.ObserveLoad(r.ID, LoadReport{Running: running, Waiting: waiting, Slots: 16})
 								owner.RecordAnswer(r.ID)
 								mu.Lock()
 								defer mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,11 +77,30 @@
 	// Slowdown is the replica's latency divided by the median latency of its service;
 	// 1 if not known.
 	Slowdown float64
+	// WorkTime is the work time of the last load report that had one, and WorkTimeAge
+	// its age; both are zero without one. See LoadReport.
+	WorkTime    float64
+	WorkTimeAge time.Duration
 }
 
 // LogFields returns the estimate as keys and values of a log line.
 func (e LoadEstimate) LogFields() []any {
-	return []any{"in_flight", e.InFlight, "others", math.Round(e.OtherInFlight*10) / 10, "report_age", e.ReportAge.Round(time.Millisecond), "pace", math.Round(e.Slowdown*100) / 100}
+	fields := []any{"in_flight", e.InFlight, "others", math.Round(e.OtherInFlight*10) / 10, "report_age", e.ReportAge.Round(time.Millisecond), "pace", math.Round(e.Slowdown*100) / 100}
+	if e.WorkTime > 0 {
+		fields = append(fields, "work_time", e.WorkTime, "work_time_age", e.WorkTimeAge.Round(time.Millisecond))
+	}
+	return fields
+}
+
+// LoadReport is what a replica says of its load in an answer.
+type LoadReport struct {
+	// Running and Waiting are the numbers of requests of all hosts.
+	Running, Waiting int
+	// Slots is the number of requests that the replica runs at once; zero if not known.
+	Slots int
+	// WorkTime is how long work takes on the replica's machine at this moment, in
+	// percent of the usual time; zero if the replica does not say it.
+	WorkTime float64
 }
 
 // member is a replica with the observations of this host.
@@ -107,6 +126,10 @@
 	// of this host, and reportedAt the time of that report; zero without one.
 	otherInFlight float64
 	reportedAt    time.Time
+	// workTime is the last reported work time in percent of the usual one, and
+	// workTimeAt when it was reported; zero without one.
+	workTime   float64
+	workTimeAt time.Time
 
 	// latency is the moving average of the measured latency in seconds, and latencyAt
 	// the time of the last measurement.
@@ -315,6 +338,9 @@
 	if !m.reportedAt.IsZero() {
 		r.Estimate.ReportAge = now.Sub(m.reportedAt)
 	}
+	if m.workTime > 0 {
+		r.Estimate.WorkTime, r.Estimate.WorkTimeAge = m.workTime, now.Sub(m.workTimeAt)
+	}
 	m.inFlight++
 	if want.LimitUnanswered {
 		m.unanswered++
@@ -504,20 +530,22 @@
 	})
 }
 
-// ObserveLoad records a load report of a replica: the number of running and waiting
-// requests of all hosts, and of slots. Slots is used only if discovery gave none. Of
-// this host's requests, the report is taken to count those that the replica had begun to
-// answer and the one whose answer carries it; others may still be on their way. Call it
-// before RecordAnswer.
-func (f *Fleet) ObserveLoad(id string, running, waiting, slots int) {
+// ObserveLoad records a load report of a replica. Slots is used only if discovery gave
+// none. Of this host's requests, the report is taken to count those that the replica had
+// begun to answer and the one whose answer carries it; others may still be on their way.
+// Call it before RecordAnswer.
+func (f *Fleet) ObserveLoad(id string, report LoadReport) {
 	f.update(id, func(m *member) (freesSlot bool) {
 		now := time.Now()
 		counted := m.inFlight - max(0, m.unanswered-1)
-		others := max(0, float64(running+waiting-counted))
+		others := max(0, float64(report.Running+report.Waiting-counted))
 		freesSlot = others < m.currentOtherInFlight(now)
 		m.otherInFlight, m.reportedAt = others, now
-		if slots > 0 && m.Slots == 0 {
-			m.Slots = slots
+		if report.Slots > 0 && m.Slots == 0 {
+			m.Slots = report.Slots
+		}
+		if report.WorkTime > 0 {
+			m.workTime, m.workTimeAt = report.WorkTime, now
 		}
 		return freesSlot
 	})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -119,7 +119,7 @@
 
 func TestReportedLoadDecays(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *Fleet) {
-		f.ObserveLoad("a", 4, 2, 4)
+		f.ObserveLoad("a", LoadReport{Running: 4, Waiting: 2, Slots: 4})
 		if got := reserveAll(f, Requirements{Service: "s"}); got["a"] != 0 {
 			t.Errorf("reservations are %v", got)
 		}
@@ -194,8 +194,11 @@
 		{"an entry with a new version", func(f *Fleet) {
 			f.Put(Replica{ID: "a", Service: "s", Address: "a", Slots: 4, Models: map[string]uint64{"m": 2}})
 		}, true},
-		{"a report of more load", func(f *Fleet) { f.ObserveLoad("a", 3, 0, 4) }, false},
-		{"a report of less load", func(f *Fleet) { f.ObserveLoad("a", 3, 0, 4); f.ObserveLoad("a", 1, 0, 4) }, true},
+		{"a report of more load", func(f *Fleet) { f.ObserveLoad("a", LoadReport{Running: 3, Waiting: 0, Slots: 4}) }, false},
+		{"a report of less load", func(f *Fleet) {
+			f.ObserveLoad("a", LoadReport{Running: 3, Waiting: 0, Slots: 4})
+			f.ObserveLoad("a", LoadReport{Running: 1, Waiting: 0, Slots: 4})
+		}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -244,3 +247,28 @@
 		}
 	})
 }
+
+// Guards against a work time that is lost when a later report has none, or that keeps
+// the age of the load instead of its own.
+func TestWorkTimeHasItsOwnAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(logr.Discard())
+		f.Put(Replica{ID: "r", Service: "s", Address: "a", Slots: 4})
+		f.ObserveLoad("r", LoadReport{Slots: 4, WorkTime: 250})
+		time.Sleep(200 * time.Millisecond)
+		f.ObserveLoad("r", LoadReport{Slots: 4})
+		time.Sleep(50 * time.Millisecond)
+		r, err := f.Reserve(Requirements{Service: "s"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := r.Estimate
+		if e.WorkTime != 250 || e.WorkTimeAge != 250*time.Millisecond || e.ReportAge != 50*time.Millisecond {
+			t.Errorf("estimate is %+v", e)
+		}
+		f.Put(Replica{ID: "r", Service: "s", Address: "a", Slots: 4, Incarnation: 2})
+		if r, _ = f.Reserve(Requirements{Service: "s"}); r.Estimate.WorkTime != 0 {
+			t.Errorf("a restarted replica has the work time %g of its predecessor", r.Estimate.WorkTime)
+		}
+	})
+}
