job: limit scoring calls by the slots of the scoring service

Cause: each host made at most 10 scoring calls at once, 45 a second; the owner of two jobs needs 80. Complete texts waited for up to 7 s. Change: the limit is half of the slots of the service divided by the hosts that own open jobs, at least 10 as before; calls of the job that was accepted first go first.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -291,6 +291,20 @@
 	return all
 }
 
+// Slots returns the number of requests that the replicas of a service that take new ones
+// run at once.
+func (f *Fleet) Slots(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slots := 0
+	for _, m := range f.membersOf(service, time.Now()) {
+		if !m.draining() {
+			slots += m.Slots
+		}
+	}
+	return slots
+}
+
 // snapshot returns a copy of the replica with the newest observed versions.
 func (m *member) snapshot() Replica {
 	r := m.Replica
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -166,6 +166,8 @@
 // scoreFailures is the number of failed scoring calls at which a rollout is given up.
 const scoreFailures = 4
 
+func (*fakeScorer) ServiceOf(ScoreCall) (string, int) { return "scoring", 0 }
+
 func (s *fakeScorer) Score(_ context.Context, call ScoreCall) (ScoreAnswer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/job/interfaces.go
+++ b/internal/job/interfaces.go
@@ -51,6 +51,9 @@
 	// Score makes one call, at one or several replicas. The answer is valid also if
 	// the error is not nil.
 	Score(ctx context.Context, call ScoreCall) (ScoreAnswer, error)
+	// ServiceOf returns the name of the service that takes a call, and the number of
+	// requests that its replicas run at once; empty and zero if not known.
+	ServiceOf(call ScoreCall) (service string, slots int)
 }
 
 // Rule holds the settings of the route of a job.
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -91,8 +91,8 @@
 	wake chan struct{}
 	// placementWake triggers the placement of waiting rollouts.
 	placementWake chan struct{}
-	// scoringSlots is the semaphore of scoring calls.
-	scoringSlots chan struct{}
+	// scoringGates limit the scoring calls, by service.
+	scoringGates map[string]*scoringGate
 	wg           sync.WaitGroup
 	ctx          context.Context
 	cancel       context.CancelFunc
@@ -134,7 +134,7 @@
 		host: c.Host, incarnation: c.Incarnation, domain: c.Domain, store: store{c.Rows}, hosts: c.Hosts, rules: c.Rules,
 		notifyOwner: c.Notify, fleet: c.Fleet, engine: c.Engine, scorer: c.Scorer, log: c.Log, events: c.Events, retention: c.Retention,
 		onNewStep: c.OnNewStep, newestStep: map[string]int{}, endedRuns: map[string][]*jobRun{}, slowSince: map[string]time.Time{}, jobs: map[string]*jobState{}, runs: map[string]*jobRun{}, changed: make(chan struct{}),
-		wake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1), scoringSlots: make(chan struct{}, maxScoringCalls),
+		wake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1), scoringGates: map[string]*scoringGate{},
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -12,10 +12,6 @@
 	scoreTimeout = 2 * time.Second
 	// scoreRetryDelay is the delay after a failed scoring call.
 	scoreRetryDelay = 100 * time.Millisecond
-	// maxScoringCalls limits the rollouts that a host scores at once; each counts until
-	// its retries end. Rollouts finish in bursts, and the services that score them also
-	// serve customers.
-	maxScoringCalls = 10
 )
 
 // score records the result of a complete text. If the rollout has a scoring call, it
@@ -23,19 +19,18 @@
 // no result is recorded.
 func (r *jobRun) score(task *rolloutTask) {
 	r.mu.Lock()
-	events := task.events
+	events, acceptedMS := task.events, r.owner.AcceptedMS
 	r.mu.Unlock()
 	if task.rollout.Score == nil {
 		r.finish(task, completed(events, "", ""))
 		return
 	}
 	failures := 0
-	select {
-	case r.m.scoringSlots <- struct{}{}:
-		defer func() { <-r.m.scoringSlots }()
-	case <-r.ctx.Done():
+	gate := r.m.scoringGateFor(*task.rollout.Score)
+	if !gate.acquire(r.ctx, acceptedMS) {
 		return
 	}
+	defer gate.release()
 	for r.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, scoreTimeout)
 		answer, err := r.m.scorer.Score(ctx, *task.rollout.Score)
