bearer, routes: teams with keys, looked up by hash

Cause: both adapters need one decision on a bearer token, and the rows adapter has to map keys to teams. Measured: go test of internal/bearer, internal/routes and internal/filter passes.

--- a/internal/filter/authenticate/authenticate.go
+++ b/internal/filter/authenticate/authenticate.go
@@ -7,7 +7,6 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/bearer"
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
-	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/filter"
 )
 
@@ -31,14 +30,12 @@
 // Tenant returns the name of the tenant whose token is in an Authorization
 // header. It fails with Unauthorized if there is none.
 func Tenant(doc *deployment.Document, header string) (string, error) {
-	token, ok := bearer.FromHeader(header)
-	if !ok {
-		return "", failure.New(failure.Unauthorized, failure.NotRun, "the request has no bearer token").WithField(bearer.HeaderAuthorization)
-	}
-	for name, tenant := range doc.Tenants {
-		if token.Matches(tenant.TokenSHA256) {
-			return name, nil
+	return bearer.Authenticate(header, func(token bearer.Token) (string, bool) {
+		for name, tenant := range doc.Tenants {
+			if token.Matches(tenant.TokenSHA256) {
+				return name, true
+			}
 		}
-	}
-	return "", failure.New(failure.Unauthorized, failure.NotRun, "the bearer token belongs to no tenant").WithField(bearer.HeaderAuthorization)
+		return "", false
+	})
 }
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -63,6 +63,8 @@
 	// GiveUpAfter is the time from the acceptance of a job after which its unfinished
 	// rollouts are given up; zero sets no limit.
 	GiveUpAfter time.Duration
+	// Public means that requests need no key, even if there are teams.
+	Public bool
 }
 
 // ServiceFor returns the service that handles the request or job with the id key,
@@ -113,6 +115,8 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
+	// Teams holds the teams and their keys; nil if the configuration has no teams.
+	Teams *Teams
 	// byHost holds the routes by host name, those with the longest prefix first.
 	byHost map[string][]Route
 }
