job: a job belongs to the team that submitted it

Cause: two teams may use one job id, and name one model and the same rollout ids. The second submission was acknowledged as a repeat of the first, overwrote the rows of a spec above 600 KiB, and texts were carried over. Change: Spec and OwnerRow have the team; another team's submission of the id is a conflict that was not run; the rows of a spec are apart by team; nothing is carried over between teams. A submission that loses against a stored job reads its owner row before it is acknowledged.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -17,14 +17,17 @@
 // job with the ID of a stored one succeeds without any effect. The error has kind
 // StoreUnavailable and outcome NotRun if the job was not stored and never will be,
 // kind StoreInDoubt if it may have been stored, and kind InvalidRequest if it
-// cannot be encoded.
+// cannot be encoded. If the stored job belongs to another team, the error has kind Conflict
+// and outcome NotRun.
 func (m *Manager) Accept(ctx context.Context, spec *Spec, configVersion uint64) error {
 	m.mu.Lock()
-	state := m.jobs[spec.ID]
+	var state jobState
+	if known := m.jobs[spec.ID]; known != nil {
+		state = *known
+	}
 	m.mu.Unlock()
-	if state != nil && state.version > 0 {
-		m.log.Info("job was already accepted", "job", spec.ID, "version", state.version)
-		return nil
+	if state.version > 0 {
+		return m.acceptedBefore(spec, state.owner, state.version)
 	}
 	now, err := m.acceptTime(ctx, spec.ID)
 	if err != nil {
@@ -32,7 +35,7 @@
 	}
 	owner := OwnerRow{
 		Host: m.host, Incarnation: m.incarnation, AcceptedMS: now.Milliseconds(),
-		Total: len(spec.Rollouts), Model: spec.Model, Step: spec.Step, MinVersion: spec.MinVersion,
+		Total: len(spec.Rollouts), Team: spec.Team, Model: spec.Model, Step: spec.Step, MinVersion: spec.MinVersion,
 		ConfigVersion: configVersion,
 	}
 	if host, incarnation, ok := m.hosts.PreferredHost(owner.rankingKey(spec.ID)); ok {
@@ -49,8 +52,7 @@
 	}
 	result, err := m.commitUntilDecided(ctx, spec.ID, txs[len(txs)-1])
 	if failure.IsKind(err, failure.Conflict) {
-		m.log.Info("job was already accepted", "job", spec.ID)
-		return nil
+		return m.compareWithStored(ctx, spec)
 	}
 	if err != nil {
 		m.events.Event("job_refused")
@@ -59,7 +61,7 @@
 	}
 	m.events.Event("job_accepted")
 	m.log.Info("job accepted", "job", spec.ID, "owner", owner.Host, "version", result.Version, "rollouts", len(spec.Rollouts),
-		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion, "configuration", configVersion)
+		"team", spec.Team, "model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion, "configuration", configVersion)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	accepted := Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}
@@ -70,6 +72,34 @@
 	return nil
 }
 
+// acceptedBefore returns the result of accepting a job whose ID a stored job has.
+func (m *Manager) acceptedBefore(spec *Spec, owner OwnerRow, version uint64) error {
+	if owner.Team != spec.Team {
+		m.events.Event("job_of_another_team")
+		m.log.Info("job not accepted", "job", spec.ID, "team", spec.Team, "version", version, "reason", "another team has a job with this id")
+		return failure.New(failure.Conflict, failure.NotRun, "the id of job %s is in use", spec.ID)
+	}
+	m.log.Info("job was already accepted", "job", spec.ID, "team", spec.Team, "version", version)
+	return nil
+}
+
+// compareWithStored compares a job with the stored one that has its ID. The stored one may be
+// that of this submission, whose acknowledgement was lost, so a failed read leaves the
+// outcome unknown.
+func (m *Manager) compareWithStored(ctx context.Context, spec *Spec) error {
+	for {
+		owner, version, _, err := m.store.readOwner(ctx, spec.ID)
+		switch {
+		case err == nil && version > 0:
+			return m.acceptedBefore(spec, owner, version)
+		case err == nil:
+			return failure.New(failure.StoreUnavailable, failure.NotRun, "job %s was deleted while it was submitted", spec.ID)
+		case !pause.For(ctx, inDoubtRetryDelay):
+			return failure.Wrap(err, failure.StoreInDoubt, failure.Unknown, "job %s may have been stored", spec.ID)
+		}
+	}
+}
+
 // acceptTime returns the present time of the store clock. It reads the clock from
 // the store if this host does not know it yet.
 func (m *Manager) acceptTime(ctx context.Context, id string) (time.Duration, error) {
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -59,10 +59,12 @@
 	pad map[string]string
 	// slots is the semaphore of an engine's attempts; a missing one sets no limit.
 	slots map[string]chan struct{}
+	// teams counts the started attempts by team.
+	teams map[string]int
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, gone: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, length: testEvents}
+	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, gone: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, teams: map[string]int{}, length: testEvents}
 }
 
 func (e *fakeEngines) Generate(ctx context.Context, target fleet.Replica, request GenerateRequest, sink func(Event) error) error {
@@ -80,6 +82,7 @@
 		e.refuse[target.ID]--
 	} else {
 		e.runs = append(e.runs, fmt.Sprintf("%s %d", request.Rollout.ID, request.ResumeAfter))
+		e.teams[request.Team]++
 		e.starts[request.Rollout.ID] = append(e.starts[request.Rollout.ID], request.ResumeAfter)
 	}
 	crash := !refused && e.crashes[request.Rollout.ID] > 0
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -224,7 +224,7 @@
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	task.state, task.engine, task.cancel, task.moving = taskRunning, target.ID, cancel, false
 	task.eventsBefore, task.lastEvent = len(task.events), time.Now()
-	call := GenerateRequest{Rollout: task.rollout, Host: r.spec.Host, Model: r.spec.Model, ResumeAfter: task.eventsBefore, PriorEvents: slices.Clip(task.events)}
+	call := GenerateRequest{Rollout: task.rollout, Host: r.spec.Host, Team: r.spec.Team, HasTeams: c.rule.HasTeams, Model: r.spec.Model, ResumeAfter: task.eventsBefore, PriorEvents: slices.Clip(task.events)}
 	if c.rule.OnPolicy && task.eventsBefore > 0 {
 		call.Version = task.events[0].Version
 	}
--- a/internal/job/interfaces.go
+++ b/internal/job/interfaces.go
@@ -11,8 +11,12 @@
 type GenerateRequest struct {
 	Rollout *Rollout
 	// Host is the HTTP host name of the job's route.
-	Host  string
-	Model string
+	Host string
+	// Team is the name of the job's team; empty if it has none.
+	Team string
+	// HasTeams is Rule.HasTeams of the job.
+	HasTeams bool
+	Model    string
 	// ResumeAfter is the number of events that exist already; the engine continues
 	// after them.
 	ResumeAfter int
@@ -60,6 +64,9 @@
 	// MaxAttempts is the number of attempts answered with a failure after which a
 	// rollout is given up; at least one is made.
 	MaxAttempts int
+	// HasTeams means that the configuration has teams: headers with keys and names of
+	// teams must not reach an engine as a trainer wrote them.
+	HasTeams bool
 	// Priority orders the waiting rollouts of several jobs; 0 is the highest.
 	Priority int
 	// OnPolicy requires that one weight version generates a whole rollout.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -9,6 +9,8 @@
 	// Path select the route whose settings apply to the job's rollouts.
 	Host string `json:"host"`
 	Path string `json:"path"`
+	// Team is the name of the team that the job belongs to; empty if it has none.
+	Team string `json:"team,omitempty"`
 	// Model is the name of the model that generates.
 	Model string `json:"model,omitempty"`
 	// Step is the number of the model's training step.
@@ -89,6 +91,8 @@
 	Incarnation string `json:"incarnation"`
 	// AcceptedMS is the time of the acceptance on the store clock, in milliseconds.
 	AcceptedMS int64 `json:"accepted_ms"`
+	// Team is the name of the team that the job belongs to; empty if it has none.
+	Team string `json:"team,omitempty"`
 	// Total is the number of rollouts.
 	Total int `json:"total"`
 	// Listed is the number of results listed so far.
--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -7,7 +7,7 @@
 
 // WaitingRollout holds the attributes by which waiting rollouts are sorted.
 type WaitingRollout struct {
-	// Priority is the priority of the job's route; 0 is the highest.
+	// Priority is the priority of the job's team or route; 0 is the highest.
 	Priority int
 	// Deadline is the job's deadline in nanoseconds of the store clock.
 	Deadline int64
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -63,7 +63,7 @@
 
 // restore reads the spec, the listed results and the saved texts.
 func (r *jobRun) restore(texts *map[string]savedText, results *[]Result) error {
-	spec, err := r.m.store.readSpec(r.ctx, r.id, r.owner.Chunks)
+	spec, err := r.m.store.readSpec(r.ctx, r.id, r.owner)
 	if err != nil {
 		return err
 	}
@@ -144,8 +144,8 @@
 	}
 }
 
-// earlierJobs returns the jobs from which a job may carry rollouts over: the IDs of
-// those of its model's last carryJobs steps to read from the store, and the model's
+// earlierJobs returns the jobs of the same team from which a job may carry rollouts over:
+// the IDs of those of its model's last carryJobs steps to read from the store, and the model's
 // runs in this process, whatever their step. From the store it leaves out jobs whose
 // results are all listed, and jobs that are open: their trainer still waits for their
 // rollouts, so a later job does not name them, and reading them delays every rollout of
@@ -158,18 +158,20 @@
 	defer m.mu.Unlock()
 	known := map[string]bool{id: true}
 	for _, r := range m.endedRuns[owner.Model] {
-		known[r.id] = true
-		runs = append(runs, r)
+		if r.team == owner.Team {
+			known[r.id] = true
+			runs = append(runs, r)
+		}
 	}
 	for other, r := range m.runs {
-		if !known[other] && m.jobs[other] != nil && m.jobs[other].owner.Model == owner.Model {
+		if !known[other] && r.team == owner.Team && m.jobs[other] != nil && m.jobs[other].owner.Model == owner.Model {
 			known[other] = true
 			runs = append(runs, r)
 		}
 	}
 	for other, state := range m.jobs {
 		step := state.owner.Step
-		if !known[other] && state.owner.Model == owner.Model && step < owner.Step && step >= owner.Step-carryJobs &&
+		if !known[other] && state.owner.Team == owner.Team && state.owner.Model == owner.Model && step < owner.Step && step >= owner.Step-carryJobs &&
 			state.ended && state.owner.Listed < state.owner.Total {
 			stored = append(stored, other)
 		}
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -112,6 +112,26 @@
 	return owner, nil
 }
 
+// Owner returns the owner row of a job, from the store if the change feed has not shown
+// it. The error is that of Results.
+func (m *Manager) Owner(ctx context.Context, id string) (OwnerRow, error) {
+	if owner, known := m.KnownOwner(id); known {
+		return owner, nil
+	}
+	return m.readCurrentOwner(ctx, id)
+}
+
+// KnownOwner returns the owner row of a job if this host knows it without asking the store.
+func (m *Manager) KnownOwner(id string) (owner OwnerRow, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state := m.jobs[id]
+	if state == nil || state.version == 0 {
+		return OwnerRow{}, false
+	}
+	return state.owner, true
+}
+
 // readPage returns listed results from memory if this host runs the job, else from
 // the store.
 func (m *Manager) readPage(ctx context.Context, id string, r *jobRun, owner OwnerRow, from int) (Page, error) {
@@ -152,7 +172,7 @@
 				return nil, err
 			}
 		}
-		if spec, err = m.store.readSpec(ctx, id, owner.Chunks); err != nil {
+		if spec, err = m.store.readSpec(ctx, id, owner); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -96,6 +96,8 @@
 type jobRun struct {
 	m  *Manager
 	id string
+	// team is owner.Team, which never changes.
+	team string
 	// token identifies this run in the owner rows that it writes.
 	token  string
 	log    logr.Logger
@@ -143,7 +145,7 @@
 
 func newJobRun(m *Manager, id string, spec *Spec, owner OwnerRow, version uint64) *jobRun {
 	r := &jobRun{
-		m: m, id: id, token: uuid.NewString()[:runTokenLength], log: m.log.WithValues("job", id), spec: spec, owner: owner, version: version,
+		m: m, id: id, team: owner.Team, token: uuid.NewString()[:runTokenLength], log: m.log.WithValues("job", id), spec: spec, owner: owner, version: version,
 		byID: map[string]*rolloutTask{}, wake: make(chan struct{}, 1), done: make(chan struct{}), savedAt: time.Now(),
 	}
 	r.ctx, r.cancel = context.WithCancelCause(m.ctx)
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,6 +39,8 @@
 	maxCommitBytes = 600 << 10
 	// maxValueBytes is the largest value of a row.
 	maxValueBytes = 64 << 10
+	// teamKeyBytes is the number of bytes of the hash of a team's name in the keys of its specs.
+	teamKeyBytes = 8
 )
 
 // errOwnershipLost cancels the attempts of a job that another host owns.
@@ -90,7 +93,7 @@
 			txs = append(txs, tx)
 			tx, size = platform.RowTransaction{}, 0
 		}
-		id := platform.RowID{Table: tableSpecs, Part: spec.ID, Key: fmt.Sprintf("%06d", i)}
+		id := platform.RowID{Table: tableSpecs, Part: spec.ID, Key: specKey(spec.Team, i)}
 		tx.Writes = append(tx.Writes, platform.RowWrite{RowID: id, Value: chunk})
 		size += len(chunk)
 	}
@@ -100,6 +103,17 @@
 	return append(txs, tx), owner, nil
 }
 
+// specKey returns the key of a chunk of a team's spec. A spec is written before the row
+// that creates the job, so two teams that submit the same ID must not write the same rows.
+func specKey(team string, chunk int) string {
+	if team == "" {
+		return fmt.Sprintf("%06d", chunk)
+	}
+	// The hash of the name has a fixed length and characters that any row key may have.
+	sum := sha256.Sum256([]byte(team))
+	return fmt.Sprintf("%x/%06d", sum[:teamKeyBytes], chunk)
+}
+
 func splitChunks(encoded []byte, size int) [][]byte {
 	var chunks [][]byte
 	for len(encoded) > size {
@@ -133,21 +147,23 @@
 	return owner, version, ended, nil
 }
 
-// readSpec returns a job's spec, which is stored in a number of chunks.
-func (s store) readSpec(ctx context.Context, job string, chunks int) (*Spec, error) {
+// readSpec returns the spec of the job with an owner row.
+func (s store) readSpec(ctx context.Context, job string, owner OwnerRow) (*Spec, error) {
 	rows, err := follow.ReadPart(ctx, s.rows, tableSpecs, job)
 	if err != nil {
 		return nil, err
 	}
 	var encoded []byte
-	for i, row := range rows {
-		if i < chunks {
+	found := 0
+	for _, row := range rows {
+		if found < owner.Chunks && row.Key == specKey(owner.Team, found) {
 			encoded = append(encoded, row.Value...)
+			found++
 		}
 	}
 	spec := new(Spec)
 	if err := json.Unmarshal(encoded, spec); err != nil {
-		return nil, failure.Wrap(err, failure.Internal, "", "cannot decode spec of job %s: found %d rows, want %d", job, len(rows), chunks)
+		return nil, failure.Wrap(err, failure.Internal, "", "cannot decode spec of job %s: found %d rows, want %d", job, found, owner.Chunks)
 	}
 	return spec, nil
 }
