--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"strings"
@@ -14,11 +15,12 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/config"
 	"github.com/sapphirehatch/sapphirehatch/internal/deployment"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/platform"
 )
 
 // configCommand groups the subcommands on the deployment document.
 type configCommand struct {
-	Check   configCheckCommand   `cmd:"" help:"Check a document without any host."`
+	Check   configCheckCommand   `cmd:"" help:"Check a document, or the JSON configuration of a platform with a row store, without any host."`
 	Apply   configApplyCommand   `cmd:"" help:"Apply a document."`
 	Show    configShowCommand    `cmd:"" help:"Print a document."`
 	History configHistoryCommand `cmd:"" help:"List accepted versions."`
@@ -62,14 +64,35 @@
 	if err != nil {
 		return err
 	}
-	if _, err := deployment.Parse(text); err != nil {
+	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
+		err = checkRowsConfig(out, text)
+	} else if _, err = deployment.Parse(text); err != nil {
 		printProblems(out, deployment.AsProblems(err))
+	}
+	if err != nil {
 		return failure.New(failure.InvalidDocument, "", "%s is not valid", c.File)
 	}
 	_, _ = fmt.Fprintf(out.Out, "%s is valid\n", c.File)
 	return nil
 }
 
+// checkRowsConfig checks the configuration of a platform with a row store, which begins
+// with a brace, unlike a deployment document. It prints the problems.
+func checkRowsConfig(out *streams, text []byte) error {
+	problems, err := platform.CheckConfig(text)
+	if err != nil {
+		_, _ = fmt.Fprintln(out.Err, err)
+		return err
+	}
+	for _, problem := range problems {
+		_, _ = fmt.Fprintln(out.Err, problem)
+	}
+	if len(problems) > 0 {
+		return failure.New(failure.InvalidDocument, "", "%d problems", len(problems))
+	}
+	return nil
+}
+
 func readDocument(path string) ([]byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,8 +64,11 @@
 	Kind telemetry.Kind
 	// ConfigVersion is the version of the configuration that contains the route.
 	ConfigVersion uint64
-	Route         *routes.Route
-	Request       *fasthttp.Request
+	// Team is the name of the caller's team; empty on public routes, for calls of this host,
+	// and without teams.
+	Team    string
+	Route   *routes.Route
+	Request *fasthttp.Request
 	// Fingerprint identifies the content of the request at the CrashGuard. Zero exempts
 	// the request, for example a call on behalf of a job, which stays owed.
 	Fingerprint quarantine.Fingerprint
@@ -131,12 +134,12 @@
 	if err != nil {
 		e := failure.As(err)
 		g.events.Event("request_failed")
-		g.log.Info("request failed", "id", call.ID, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
+		g.log.Info("request failed", "id", call.ID, "team", call.Team, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
 			"outcome", e.Outcome, "sent", f.attempts, "retry_after", e.RetryAfter, "configuration", call.ConfigVersion, "trail", f.attemptLog.String(), "error", e.Error())
 		return f.report(), e
 	}
 	g.log.Info("request answered", append([]any{
-		"id", call.ID, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
+		"id", call.ID, "team", call.Team, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
 		"status", answer.StatusCode(), "sent", f.attempts, "took", time.Since(began), "configuration", call.ConfigVersion, "trail", f.attemptLog.String(),
 	}, f.estimate.LogFields()...)...)
 	answer.CopyTo(resp)
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -117,6 +117,8 @@
 	Services map[string]Service
 	// Teams holds the teams and their keys; nil if the configuration has no teams.
 	Teams *Teams
+	// Problems are sentences on entries of the configuration that were left out.
+	Problems []string
 	// byHost holds the routes by host name, those with the longest prefix first.
 	byHost map[string][]Route
 }
--- a/internal/routes/teams_test.go
+++ b/internal/routes/teams_test.go
@@ -9,7 +9,7 @@
 )
 
 func keys(texts ...string) []bearer.Token {
-	var all []bearer.Token
+	all := make([]bearer.Token, 0, len(texts))
 	for _, text := range texts {
 		all = append(all, bearer.Hash(text))
 	}
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -72,6 +72,10 @@
 	JobRetention time.Duration `ini:"job_retention" validate:"gt=0"`
 	// QuarantineTerm is how long a request that has crashed replicas is refused. Default 10m.
 	QuarantineTerm time.Duration `ini:"quarantine_term" validate:"gt=0"`
+	// MaxConfigurationAge is the time for which a host admits requests that need a key
+	// without a confirmation of its configuration by the store. At least 3s, because an
+	// undisturbed host has a confirmation up to 2 s old. The default 0 sets no limit.
+	MaxConfigurationAge time.Duration `ini:"max_configuration_age" validate:"omitempty,gte=3s"`
 }
 
 // RowsSwap is the [swap] section, on the loading of weight versions by engines.
--- a/internal/settings/rows_test.go
+++ b/internal/settings/rows_test.go
@@ -55,6 +55,8 @@
 		{"[timing]", "[timing]\nunknown = 1", "timing.unknown"},
 		{"10.0.0.1:81", "10.0.0.1", "host.ready_address"},
 		{"id = a\n", "id = a\npeer_address = nowhere\n", "host.peer_address"},
+		{"[timing]", "[timing]\nmax_configuration_age = 2s", "timing.max_configuration_age"},
+		{"[timing]", "[timing]\nmax_configuration_age = -5s", "timing.max_configuration_age"},
 		{"id = a\n", "id = a\npeer_address = 10.0.0.1:80\n", "host.peer_address"},
 	} {
 		_, err := LoadRows(writeFile(t, strings.Replace(validRowsText, test.old, test.new, 1)))
