--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -145,7 +145,6 @@
 		"{{listen.frontend}}", at(0), "{{listen.ready}}", at(1), "{{listen.directory}}", at(2),
 		"{{ip}}:{{internal_ports.0}}", at(3), "{{ip}}:9464", at(4), "{{platform.address}}", address,
 		"{{bounds.lease_ms}}", "3000", "{{bounds.grace_s}}", "8", "{{bounds.status_s}}", fmt.Sprint(statusSeconds),
-		"{{#bounds.strict_revocation}}\nmax_configuration_age = {{bounds.revoke_ms}}ms\n{{/bounds.strict_revocation}}\n", "",
 	).Replace(string(text))
 	if strings.Contains(settings, "{{") {
 		return nil, errors.New("the settings template has a field that the case does not know")
