settings: section [control] of hosts on a platform with a row store

Cause: two duties call the control API of the platform, and its address, the names of the duties and the times are known only to the deployment. Change: the settings get an optional section [control]. Without an address no duty is performed. Measured: go test ./internal/settings passes, with the new cases.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -87,7 +88,8 @@
 			log.Error(err, "settings not reloaded, the previous ones stay in effect")
 			continue
 		}
-		restartRequired := next.Host != current.Host || next.Platform != current.Platform || next.Timing != current.Timing || next.Swap != current.Swap
+		restartRequired := next.Host != current.Host || next.Platform != current.Platform || next.Timing != current.Timing || next.Swap != current.Swap ||
+			!reflect.DeepEqual(next.Control, current.Control)
 		log.Info("settings reloaded", "level", next.Log.Level, "others_wait_for_restart", restartRequired)
 	}
 }
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
@@ -20,6 +21,7 @@
 	Log      Log          `ini:"log"`
 	Timing   RowsTiming   `ini:"timing"`
 	Swap     RowsSwap     `ini:"swap"`
+	Control  RowsControl  `ini:"control"`
 }
 
 // RowsHost is the [host] section.
@@ -81,6 +83,36 @@
 	MaxConcurrentLoads int `ini:"at_once" validate:"gte=0"`
 }
 
+// Names of duties in RowsControl.Duties. Other names are ignored.
+const (
+	// DutyUsage is the report of each team's requests by window.
+	DutyUsage = "usage_report"
+	// DutyScaling is the order of replicas.
+	DutyScaling = "autoscale"
+)
+
+// RowsControl is the [control] section, on calls to the control API of the platform.
+type RowsControl struct {
+	// Address is the TCP ip:port of the control API. Empty, the default, makes no calls.
+	Address string `ini:"address" validate:"omitempty,ipport"`
+	// Duties are the names of the duties that the hosts perform, separated by commas.
+	// Default empty.
+	Duties []string `ini:"duties" delim:","`
+	// Window is the length of a usage window. Default 5s.
+	Window time.Duration `ini:"window" validate:"gt=0"`
+	// ReportLate is how long after its end a window is due. It only affects the metric
+	// of late windows. Default 10s.
+	ReportLate time.Duration `ini:"report_late" validate:"gt=0"`
+	// FencingEnforced is true if the control API refuses calls with a lower fencing
+	// token than one already seen. Default false.
+	FencingEnforced bool `ini:"fencing_enforced"`
+}
+
+// Has reports whether the hosts perform a duty.
+func (c RowsControl) Has(duty string) bool {
+	return c.Address != "" && slices.Contains(c.Duties, duty)
+}
+
 // DefaultRows returns the defaults for keys that are not in the file.
 func DefaultRows() *Rows {
 	return &Rows{
@@ -93,6 +125,7 @@
 
 			QuarantineTerm: 10 * time.Minute,
 		},
+		Control: RowsControl{Window: 5 * time.Second, ReportLate: 10 * time.Second},
 	}
 }
 
--- a/internal/settings/rows_test.go
+++ b/internal/settings/rows_test.go
@@ -55,6 +55,8 @@
 		{"[timing]", "[timing]\nunknown = 1", "timing.unknown"},
 		{"10.0.0.1:81", "10.0.0.1", "host.ready_address"},
 		{"id = a\n", "id = a\npeer_address = nowhere\n", "host.peer_address"},
+		{"[timing]", "[control]\naddress = nowhere\n[timing]", "control.address"},
+		{"[timing]", "[control]\nwindow = -5s\n[timing]", "control.window"},
 		{"id = a\n", "id = a\npeer_address = 10.0.0.1:80\n", "host.peer_address"},
 	} {
 		_, err := LoadRows(writeFile(t, strings.Replace(validRowsText, test.old, test.new, 1)))
@@ -66,3 +68,21 @@
 		t.Error("a file without the adapter uses it")
 	}
 }
+
+// A deployment without a control API must not perform its duties.
+func TestControlIsOffWithoutAnAddress(t *testing.T) {
+	s, err := LoadRows(writeFile(t, validRowsText+"[control]\nduties = usage_report,autoscale\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Control.Has(DutyUsage) || s.Control.Has(DutyScaling) {
+		t.Error("a duty is on without an address")
+	}
+	s, err = LoadRows(writeFile(t, validRowsText+"[control]\naddress = 10.0.0.9:91\nduties = usage_report,other\nwindow = 5s\nreport_late = 10s\nfencing_enforced = true\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !s.Control.Has(DutyUsage) || s.Control.Has(DutyScaling) || !s.Control.FencingEnforced || s.Control.Window != 5*time.Second {
+		t.Errorf("settings are %+v", s.Control)
+	}
+}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -34,6 +35,10 @@
 	ports       = 5
 )
 
+// withoutControl matches the template's section for deployments with a control API,
+// which the cases don't have.
+var withoutControl = regexp.MustCompile(`(?s)\{\{#cloud\.address\}\}.*\{\{/cloud\.address\}\}`)
+
 // lab is a small deployment on loopback addresses.
 type lab struct {
 	rec      *recorder
@@ -145,7 +150,7 @@
 		"{{listen.frontend}}", at(0), "{{listen.ready}}", at(1), "{{listen.directory}}", at(2),
 		"{{ip}}:{{internal_ports.0}}", at(3), "{{ip}}:9464", at(4), "{{platform.address}}", address,
 		"{{bounds.lease_ms}}", "3000", "{{bounds.grace_s}}", "8", "{{bounds.status_s}}", fmt.Sprint(statusSeconds),
-	).Replace(string(text))
+	).Replace(withoutControl.ReplaceAllString(string(text), ""))
 	if strings.Contains(settings, "{{") {
 		return nil, errors.New("the settings template has a field that the case does not know")
 	}
