rowlease: named leases, moved from swap

Cause: duties that call the control API need the same lease as the orders to load weights, each with a holder of its own. Change: the elector of swap moves to internal/rowlease and gets a name, which is the part and the key of its row. The lease `weights` keeps its row and constants. Held returns the deadline itself, so that its user also notices a suspension. Abandon ends acting under a refused token; the host then gets a higher one.

--- a/internal/rowlease/elector.go
+++ b/internal/rowlease/elector.go
@@ -1,4 +1,4 @@
-package swap
+package rowlease
 
 import (
 	"context"
@@ -13,17 +13,26 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
 
-// LeaseTable is the table of leases in the row store. Each lease is in its own
-// part of the table.
-const LeaseTable = "leases"
+// Table is the table of leases in the row store. Each lease is in its own part of
+// the table.
+const Table = "leases"
+
+// Names of the leases. The name is the part and the key of the lease's row.
+const (
+	// Weights is the lease for ordering engines to load weights.
+	Weights = "weights"
+	// Usage is the lease for reporting usage to the control API.
+	Usage = "usage"
+	// Scaling is the lease for ordering replicas from the control API.
+	Scaling = "scaling"
+)
 
 const (
-	// weightsLeaseKey is the part and the key of the lease's row.
-	weightsLeaseKey = "weights"
 	// renewInterval is the time between two renewals.
 	renewInterval = 600 * time.Millisecond
 	// leaseMargin is how long before the end of the lease term the holder stops
-	// acting. It exceeds orderTimeout, so an order sent just before ends within the term.
+	// acting. It exceeds the timeout of a load order (500 ms, package swap), so an
+	// order sent just before ends within the term.
 	leaseMargin = 700 * time.Millisecond
 	// takeoverMargin is added to the lease term before another host takes over.
 	takeoverMargin = 200 * time.Millisecond
@@ -52,16 +61,30 @@
 	Rank(key, id string) int
 }
 
-// Elector competes for the weights lease on behalf of one host. It implements
-// follow.Sink for the rows of LeaseTable. Unlike the elector of package lease, which
+// Grant is the permission to perform a duty for a limited time.
+type Grant struct {
+	// Host is the id of the host that holds the lease.
+	Host string
+	// Fence is the fencing token.
+	Fence uint64
+	// Until is when the permission ends.
+	Until pause.Deadline
+}
+
+// ActingTime returns how long a renewal of a lease with a term allows its holder to
+// act, counted from when the renewal is sent.
+func ActingTime(term time.Duration) time.Duration { return term - leaseMargin }
+
+// Elector competes for one named lease on behalf of one host. It implements
+// follow.Sink for the rows of Table and ignores those of other leases. Unlike the elector of package lease, which
 // polls a platform.Table and measures the wait before a takeover on this host's
 // clock, it follows the row store and measures the wait on the store clock.
 type Elector struct {
-	host, incarnation string
-	term              time.Duration
-	rows              platform.RowStore
-	ranker            Ranker
-	log               logr.Logger
+	name, host, incarnation string
+	term                    time.Duration
+	rows                    platform.RowStore
+	ranker                  Ranker
+	log                     logr.Logger
 
 	mu sync.Mutex
 	// row and version are the latest known content of the row.
@@ -82,17 +105,20 @@
 	resigned bool
 }
 
-// NewElector returns an Elector for one incarnation of a host. All hosts must use the
-// same term.
-func NewElector(host, incarnation string, term time.Duration, rows platform.RowStore, ranker Ranker, log logr.Logger) *Elector {
-	return &Elector{host: host, incarnation: incarnation, term: term, rows: rows, ranker: ranker, log: log}
+// NewElector returns an Elector of the lease with a name, for one incarnation of a
+// host. All hosts must use the same term.
+func NewElector(name, host, incarnation string, term time.Duration, rows platform.RowStore, ranker Ranker, log logr.Logger) *Elector {
+	return &Elector{name: name, host: host, incarnation: incarnation, term: term, rows: rows, ranker: ranker, log: log.WithValues("lease", name)}
 }
 
+// Term returns the term of the lease.
+func (e *Elector) Term() time.Duration { return e.term }
+
 // Changed implements follow.Sink.
 func (e *Elector) Changed(row platform.VersionedRow) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if row.Key != weightsLeaseKey || row.Deleted || row.Version <= e.version {
+	if row.Part != e.name || row.Key != e.name || row.Deleted || row.Version <= e.version {
 		return
 	}
 	var next leaseRow
@@ -125,10 +151,28 @@
 // Held reports whether this host may act now, and returns the fencing token and
 // the time until which it may. Call it immediately before each order, because
 // the process may have been paused since the last call.
-func (e *Elector) Held() (fence uint64, until time.Time, ok bool) {
+func (e *Elector) Held() (fence uint64, until pause.Deadline, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.row.Fence, e.until.Time(), e.held && !e.resigned && !e.until.Passed()
+	return e.row.Fence, e.until, e.held && !e.resigned && !e.until.Passed()
+}
+
+// Grant returns the permission of this host, if it may act now.
+func (e *Elector) Grant() (Grant, bool) {
+	fence, until, ok := e.Held()
+	return Grant{Host: e.host, Fence: fence, Until: until}, ok
+}
+
+// Abandon ends acting under a fencing token, for example because the receiver of a
+// call has seen a higher one. This host competes for the lease again, and acts only
+// under a new token.
+func (e *Elector) Abandon(fence uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held && e.row.Fence == fence {
+		e.held = false
+		e.log.Info("lease abandoned", "fence", fence)
+	}
 }
 
 // Resign ends acting and renewing for good. The lease expires after its term.
@@ -176,7 +220,7 @@
 	if e.version == 0 || e.row.Holder == e.host {
 		return true
 	}
-	wait := e.term + takeoverMargin + time.Duration(e.ranker.Rank(weightsLeaseKey, e.host))*takeoverDelayPerRank
+	wait := e.term + takeoverMargin + time.Duration(e.ranker.Rank(e.name, e.host))*takeoverDelayPerRank
 	return e.storeClock-e.unchangedSince >= wait
 }
 
@@ -209,7 +253,7 @@
 		e.log.Error(err, "lease row cannot be encoded")
 		return false
 	}
-	id := platform.RowID{Table: LeaseTable, Part: weightsLeaseKey, Key: weightsLeaseKey}
+	id := platform.RowID{Table: Table, Part: e.name, Key: e.name}
 	until := pause.DeadlineAfter(e.term - leaseMargin)
 	result, err := e.rows.Commit(ctx, platform.RowTransaction{
 		Checks: []platform.RowCheck{{RowID: id, Version: version}},
@@ -237,7 +281,7 @@
 		e.log.V(1).Info("lease write failed", "error", err.Error())
 		return
 	}
-	page, err := e.rows.Read(ctx, platform.RowRange{Table: LeaseTable, Part: weightsLeaseKey, Limit: 1})
+	page, err := e.rows.Read(ctx, platform.RowRange{Table: Table, Part: e.name, Limit: 1})
 	if err != nil {
 		e.log.Info("lease read failed", "error", err.Error())
 		return
--- a/internal/rowlease/elector_test.go
+++ b/internal/rowlease/elector_test.go
@@ -1,52 +1,19 @@
-package swap
+package rowlease_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
-
-	"github.com/sapphirehatch/sapphirehatch/internal/follow"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
+	"github.com/sapphirehatch/sapphirehatch/internal/rowlease"
+	"github.com/sapphirehatch/sapphirehatch/internal/rowlease/rowleasetest"
 )
 
-const term = 3 * time.Second
-
-// byID ranks hosts "0", "1", ... by their names.
-type byID struct{}
-
-func (byID) Rank(_, id string) int { return int(id[0] - '0') }
-
-// candidateHost is one host that competes for the lease.
-type candidateHost struct {
-	id      string
-	rows    *platformtest.RowsClient
-	elector *Elector
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
-}
-
-func startHost(rows *platformtest.Rows, id, incarnation string) *candidateHost {
-	client := rows.Client()
-	c := &candidateHost{id: id, rows: client, elector: NewElector(id, incarnation, term, client, byID{}, logr.Discard())}
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
-	follower := follow.New(follow.Config{Table: LeaseTable, AllParts: true, LongPollWait: time.Second}, client, c.elector, logr.Discard())
-	c.done.Go(func() { _ = c.elector.Run(ctx) })
-	c.done.Go(func() { _ = follower.Run(ctx) })
-	return c
-}
-
-func (c *candidateHost) stop() {
-	c.cancel()
-	c.done.Wait()
-	c.rows.WaitForDelayedWrites()
-}
+// leaseMargin is how long before the end of the term a holder stops acting.
+var leaseMargin = rowleasetest.Term - rowlease.ActingTime(rowleasetest.Term)
 
 // watchdog checks that fencing tokens only increase, that no two hosts act under
 // the same token, and that a new holder does not act until leaseMargin after the
@@ -58,23 +25,23 @@
 	last   time.Time
 }
 
-func (w *watchdog) check(hosts []*candidateHost) {
+func (w *watchdog) check(hosts []*rowleasetest.Candidate) {
 	w.t.Helper()
 	for _, h := range hosts {
-		fence, _, ok := h.elector.Held()
+		fence, _, ok := h.Elector.Held()
 		if !ok {
 			continue
 		}
 		now := time.Now()
 		switch {
 		case fence < w.fence:
-			w.t.Fatalf("host %s acts under token %d after %d", h.id, fence, w.fence)
-		case h.id != w.holder && fence == w.fence:
-			w.t.Fatalf("hosts %s and %s act under token %d", h.id, w.holder, fence)
-		case h.id != w.holder && w.holder != "" && now.Sub(w.last) < leaseMargin:
-			w.t.Fatalf("host %s acts %s after %s", h.id, now.Sub(w.last), w.holder)
+			w.t.Fatalf("host %s acts under token %d after %d", h.ID, fence, w.fence)
+		case h.ID != w.holder && fence == w.fence:
+			w.t.Fatalf("hosts %s and %s act under token %d", h.ID, w.holder, fence)
+		case h.ID != w.holder && w.holder != "" && now.Sub(w.last) < leaseMargin:
+			w.t.Fatalf("host %s acts %s after %s", h.ID, now.Sub(w.last), w.holder)
 		}
-		w.fence, w.holder, w.last = fence, h.id, now
+		w.fence, w.holder, w.last = fence, h.ID, now
 	}
 }
 
@@ -89,9 +56,9 @@
 func leaseUnderFaults(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	rows := platformtest.NewRows()
-	hosts := make([]*candidateHost, 4)
+	hosts := make([]*rowleasetest.Candidate, 4)
 	for i := range hosts {
-		hosts[i] = startHost(rows, fmt.Sprint(i), "first")
+		hosts[i] = rowleasetest.Start(rows, rowlease.Weights, fmt.Sprint(i), "first")
 	}
 	w := &watchdog{t: t}
 	held := 0
@@ -107,25 +74,25 @@
 		h := hosts[random.IntN(len(hosts))]
 		switch random.IntN(6) {
 		case 0:
-			h.rows.SetDown(true)
+			h.Rows.SetDown(true)
 		case 1:
-			h.rows.LoseAnswers(1 + random.IntN(3))
+			h.Rows.LoseAnswers(1 + random.IntN(3))
 		case 2:
-			h.rows.DelayWrites(1+random.IntN(3), time.Duration(random.IntN(4000))*time.Millisecond)
+			h.Rows.DelayWrites(1+random.IntN(3), time.Duration(random.IntN(4000))*time.Millisecond)
 		case 3:
-			h.stop()
-			i := int(h.id[0] - '0')
-			hosts[i] = startHost(rows, h.id, fmt.Sprint("boot ", step))
+			h.Stop()
+			i := int(h.ID[0] - '0')
+			hosts[i] = rowleasetest.Start(rows, rowlease.Weights, h.ID, fmt.Sprint("boot ", step))
 		case 4:
 			rows.DropHistory()
 		default:
 			for _, h := range hosts {
-				h.rows.SetDown(false)
+				h.Rows.SetDown(false)
 			}
 		}
 	}
 	for _, h := range hosts {
-		h.stop()
+		h.Stop()
 	}
 	if held < 300 {
 		t.Errorf("the lease was held in %d of 1200 steps", held)
@@ -135,36 +102,76 @@
 func TestLeaseIsTakenOverFromUnreachableHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := platformtest.NewRows()
-		first := startHost(rows, "0", "a")
+		first := rowleasetest.Start(rows, rowlease.Weights, "0", "a")
 		time.Sleep(2 * time.Second)
-		hosts := []*candidateHost{first, startHost(rows, "1", "b")}
+		hosts := []*rowleasetest.Candidate{first, rowleasetest.Start(rows, rowlease.Weights, "1", "b")}
 		time.Sleep(2 * time.Second)
-		if _, _, ok := hosts[0].elector.Held(); !ok {
+		if _, _, ok := hosts[0].Elector.Held(); !ok {
 			t.Error("the first host does not hold the lease")
 		}
-		hosts[0].rows.SetDown(true)
-		time.Sleep(term)
-		if _, _, ok := hosts[0].elector.Held(); ok {
+		hosts[0].Rows.SetDown(true)
+		time.Sleep(rowleasetest.Term)
+		if _, _, ok := hosts[0].Elector.Held(); ok {
 			t.Error("the first host may act after the end of its term although it could not renew")
 		}
 		time.Sleep(2 * time.Second)
-		if _, _, ok := hosts[1].elector.Held(); !ok {
+		if _, _, ok := hosts[1].Elector.Held(); !ok {
 			t.Error("the second host has not taken the lease")
 		}
 		for _, h := range hosts {
-			h.stop()
+			h.Stop()
 		}
 	})
 }
 
 func TestResignedHolderDoesNotAct(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		host := startHost(platformtest.NewRows(), "0", "a")
+		host := rowleasetest.Start(platformtest.NewRows(), rowlease.Weights, "0", "a")
 		time.Sleep(2 * time.Second)
-		host.elector.Resign()
-		if _, _, ok := host.elector.Held(); ok {
+		host.Elector.Resign()
+		if _, _, ok := host.Elector.Held(); ok {
 			t.Error("a host that resigned may act")
 		}
-		host.stop()
+		host.Stop()
+	})
+}
+
+// A holder whose token was refused as too low must not call with it again. It gets a
+// higher one, or the duty would stop until the process ends.
+func TestHolderContinuesUnderANewTokenAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		host := rowleasetest.Start(rows, rowlease.Usage, "0", "a")
+		time.Sleep(2 * time.Second)
+		before, _, ok := host.Elector.Held()
+		if !ok {
+			t.Fatal("the host does not hold the lease")
+		}
+		host.Elector.Abandon(before)
+		if _, _, ok := host.Elector.Held(); ok {
+			t.Error("the host may act under the refused token")
+		}
+		time.Sleep(2 * time.Second)
+		if after, _, ok := host.Elector.Held(); !ok || after <= before {
+			t.Errorf("the host holds the lease: %t, token %d after %d", ok, after, before)
+		}
+		host.Stop()
+	})
+}
+
+// Each lease has its own row, so a host may hold one and not another.
+func TestLeasesAreIndependent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		usage := rowleasetest.Start(rows, rowlease.Usage, "0", "a")
+		time.Sleep(time.Second)
+		scaling := rowleasetest.Start(rows, rowlease.Scaling, "1", "b")
+		time.Sleep(2 * time.Second)
+		for _, h := range []*rowleasetest.Candidate{usage, scaling} {
+			if _, _, ok := h.Elector.Held(); !ok {
+				t.Errorf("host %s does not hold its lease", h.ID)
+			}
+			h.Stop()
+		}
 	})
 }
--- a/internal/swap/controller.go
+++ b/internal/swap/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/rowlease"
 	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
 
@@ -107,7 +108,7 @@
 // Controller plans and sends load orders while this host holds the lease.
 type Controller struct {
 	host       string
-	elector    *Elector
+	elector    *rowlease.Elector
 	fleet      *fleet.Fleet
 	engines    EngineClient
 	rules      Rules
@@ -128,7 +129,7 @@
 // NewController returns a controller for a host. At most maxLoading engines load
 // at a time; zero means the share of the engines that MaxLoading returns. events
 // may be nil.
-func NewController(host string, elector *Elector, f *fleet.Fleet, engines EngineClient, rules Rules, maxLoading int, events *telemetry.Recorder, log logr.Logger) *Controller {
+func NewController(host string, elector *rowlease.Elector, f *fleet.Fleet, engines EngineClient, rules Rules, maxLoading int, events *telemetry.Recorder, log logr.Logger) *Controller {
 	return &Controller{host: host, elector: elector, fleet: f, engines: engines, rules: rules, maxLoading: maxLoading, events: events, log: log,
 		demands: map[string]Demand{}, states: map[string]*engineState{}}
 }
@@ -304,7 +305,7 @@
 		s.needsReport = true
 		if failure.IsKind(err, failure.StaleFencingToken) {
 			// Another host has taken the lease; Held reports that within a term.
-			s.retryAt = now.Add(c.elector.term)
+			s.retryAt = now.Add(c.elector.Term())
 		}
 	}
 	kv := []any{"engine", target.ID, "model", order.Model, "version", order.Version, "fence", order.Fence, "orders", order.Orders, "started", started}
--- a/internal/swap/controller_test.go
+++ b/internal/swap/controller_test.go
@@ -12,6 +12,8 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
+	"github.com/sapphirehatch/sapphirehatch/internal/rowlease"
+	"github.com/sapphirehatch/sapphirehatch/internal/rowlease/rowleasetest"
 )
 
 // fakeEngine is the state of an engine that carries out orders.
@@ -107,8 +109,8 @@
 			f.engines[id] = &fakeEngine{version: 1}
 			all.Put(fleet.Replica{ID: id, Service: "s", Address: id, Models: map[string]uint64{"m": 1}})
 		}
-		host := startHost(platformtest.NewRows(), "0", "a")
-		c := NewController("0", host.elector, all, f, alwaysRetain{}, 2, nil, logr.Discard())
+		host := rowleasetest.Start(platformtest.NewRows(), rowlease.Weights, "0", "a")
+		c := NewController("0", host.Elector, all, f, alwaysRetain{}, 2, nil, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		var done sync.WaitGroup
 		done.Go(func() { _ = c.Run(ctx) })
@@ -116,7 +118,7 @@
 		test(c, f)
 		cancel()
 		done.Wait()
-		host.stop()
+		host.Stop()
 		f.pending.Wait()
 	})
 }
