--- a/internal/failure/errors.go
+++ b/internal/failure/errors.go
@@ -46,6 +46,8 @@
 	Quarantined Kind = "quarantined"
 	// NoUpstream means that no upstream can take the request.
 	NoUpstream Kind = "no_upstream"
+	// CapacityUnavailable means that the control API has no replica of the ordered kind to give at the moment.
+	CapacityUnavailable Kind = "capacity_unavailable"
 	// UpstreamUnreachable means that an upstream cannot be reached or is leaving.
 	UpstreamUnreachable Kind = "upstream_unreachable"
 	// UpstreamFailed means that an upstream did not answer, or answered with an error.
@@ -91,6 +93,7 @@
 	DeadlineExceeded:    http.StatusGatewayTimeout,
 	Quarantined:         http.StatusUnprocessableEntity,
 	NoUpstream:          http.StatusServiceUnavailable,
+	CapacityUnavailable: http.StatusConflict,
 	UpstreamUnreachable: http.StatusBadGateway,
 	UpstreamFailed:      http.StatusBadGateway,
 	IncompleteAnswer:    http.StatusBadGateway,
--- a/internal/platform/http_client.go
+++ b/internal/platform/http_client.go
@@ -53,12 +53,20 @@
 // type of body, which may be nil. If NotSent reports true for the error, the call
 // had no effect; otherwise it may have had one.
 func (c *HTTPClient) Attempt(method, path, contentType string, body []byte, deadline time.Time) (status int, response []byte, err error) {
+	return c.AttemptWithHeader(method, path, contentType, nil, body, deadline)
+}
+
+// AttemptWithHeader is like Attempt, with additional request headers.
+func (c *HTTPClient) AttemptWithHeader(method, path, contentType string, header map[string]string, body []byte, deadline time.Time) (status int, response []byte, err error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(c.base + path)
 	req.Header.SetMethod(method)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
 	if body != nil {
 		req.Header.SetContentType(contentType)
 		req.SetBodyRaw(body)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -14,7 +14,7 @@
 )
 
 // Recorder records the metrics of one host. On a nil Recorder, QueueWait, FirstByte,
-// AttemptPhase and Event do nothing: components that call them may run without metrics.
+// AttemptPhase, ControlCall and Event do nothing: components that call them may run without metrics.
 type Recorder struct{ set *metrics.Set }
 
 // New returns a Recorder without metrics.
@@ -78,6 +78,19 @@
 	r.set.GetOrCreateCounter(`sapphirehatch_store_calls_total{call="` + call + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// ControlCall records the duration and the outcome of a call to the control API. call is its name, such as "usage".
+func (r *Recorder) ControlCall(call string, took time.Duration, err error) {
+	if r == nil {
+		return
+	}
+	outcome := "ok"
+	if err != nil {
+		outcome = string(failure.As(err).Kind)
+	}
+	r.set.GetOrCreateHistogram(`sapphirehatch_control_seconds{call="` + call + `"}`).Update(took.Seconds())
+	r.set.GetOrCreateCounter(`sapphirehatch_control_calls_total{call="` + call + `",outcome="` + outcome + `"}`).Inc()
+}
+
 // QueueWait records how long a request waited on this host until an upstream could accept it.
 func (r *Recorder) QueueWait(kind Kind, took time.Duration) {
 	if r == nil {
