roster: true time from the median of the hosts' clocks

Cause: usage windows are in true time, and the time of day of a host may step by seconds. Change: a host announces the difference between its time of day and the store clock in its heartbeat row, if told to. Roster.TrueTime adds the median of the live hosts to the store clock. Without the setting the row is as before.

--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -31,8 +31,9 @@
 	rows   platform.RowStore
 	roster *Roster
 	log    logr.Logger
-	// demand may be nil.
-	demand func() map[string]float64
+	// demand and timeOfDay may be nil.
+	demand    func() map[string]float64
+	timeOfDay func() time.Time
 
 	// writing is held while the row is written.
 	writing sync.Mutex
@@ -54,6 +55,19 @@
 // SetDemand sets the function that returns Host.Demand. Call it before Run.
 func (h *Heartbeat) SetDemand(demand func() map[string]float64) { h.demand = demand }
 
+// AnnounceClock makes the heartbeats announce Host.ClockOffset. now returns the time of
+// day, usually time.Now. Call it before Run.
+func (h *Heartbeat) AnnounceClock(now func() time.Time) { h.timeOfDay = now }
+
+// clockOffset returns Host.ClockOffset; zero if it is not announced or not known yet.
+func (h *Heartbeat) clockOffset() int64 {
+	storeClock, asked := h.roster.StoreClock()
+	if h.timeOfDay == nil || asked.IsZero() {
+		return 0
+	}
+	return h.timeOfDay().UnixMilli() - (storeClock + time.Since(asked)).Milliseconds()
+}
+
 // Self returns this host as in its last heartbeat.
 func (h *Heartbeat) Self() Host {
 	h.mu.Lock()
@@ -108,9 +122,10 @@
 	defer h.writing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	factor := h.roster.IntervalFactor()
+	factor, offset := h.roster.IntervalFactor(), h.clockOffset()
 	h.mu.Lock()
 	h.self.Sequence++
+	h.self.ClockOffset = offset
 	if h.demand != nil {
 		h.self.Demand = h.demand()
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -82,6 +82,9 @@
 	// Demand is the host's demand for services whose replicas name limits, in requests
 	// per second.
 	Demand map[string]float64 `json:"demand,omitempty"`
+	// ClockOffset is the difference between the host's time of day, since the start of 1970, and
+	// the store clock, in milliseconds; zero if it announces none.
+	ClockOffset int64 `json:"clock_ms,omitempty"`
 }
 
 // scaled returns a time, which is given for the usual heartbeat interval, scaled to
@@ -115,6 +118,8 @@
 	// extraDelay is added to DeadAfter and noNewWorkAfter because of the store's latency.
 	extraDelay time.Duration
 	dead       map[string]bool
+	// clockOffset is the median ClockOffset of the live hosts; zero if none announces one.
+	clockOffset time.Duration
 }
 
 // New returns an empty roster.
@@ -166,6 +171,50 @@
 		}
 		r.dead[id] = dead
 	}
+	r.updateClockOffset()
+}
+
+// updateClockOffset computes clockOffset. The caller holds mu. With an even number of
+// hosts the median is the mean of the middle two.
+func (r *Roster) updateClockOffset() {
+	var offsets []int64
+	for id, e := range r.entries {
+		if !r.dead[id] && e.host.ClockOffset != 0 {
+			offsets = append(offsets, e.host.ClockOffset)
+		}
+	}
+	if len(offsets) == 0 {
+		// The last median still holds, since the store clock is steady.
+		return
+	}
+	slices.Sort(offsets)
+	low, high := offsets[(len(offsets)-1)/2], offsets[len(offsets)/2]
+	r.clockOffset = time.Duration(low+(high-low)/2) * time.Millisecond
+}
+
+// TrueTime returns the true time since the start of 1970 at a time of this host's
+// monotonic clock: the store clock plus the median difference of the live hosts' time of
+// day from it. So it does not follow a step of a minority of the clocks. It returns false
+// until the store clock and a difference are known.
+func (r *Roster) TrueTime(at time.Time) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clockAsked.IsZero() || r.clockOffset == 0 {
+		return 0, false
+	}
+	return r.storeClock + at.Sub(r.clockAsked) + r.clockOffset, true
+}
+
+// Unreachable reports whether a host that did not stop has been dead for less than a time.
+func (r *Roster) Unreachable(within time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, e := range r.entries {
+		if r.dead[id] && r.storeClock-e.seen < within {
+			return true
+		}
+	}
+	return false
 }
 
 // SetWriteLatency records the store's current write latency. A slow store delays
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -25,15 +25,23 @@
 }
 
 func start(rows *platformtest.Rows, id, incarnation string) *node {
+	n := newNode(rows, id, incarnation)
+	n.run()
+	return n
+}
+
+func newNode(rows *platformtest.Rows, id, incarnation string) *node {
 	client := rows.Client()
 	r := New(logr.Discard())
-	n := &node{id: id, rows: client, roster: r, heartbeat: NewHeartbeat(Host{ID: id, Incarnation: incarnation, Address: id}, client, r, logr.Discard())}
+	return &node{id: id, rows: client, roster: r, heartbeat: NewHeartbeat(Host{ID: id, Incarnation: incarnation, Address: id}, client, r, logr.Discard())}
+}
+
+func (n *node) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	follower := follow.New(r.FollowConfig(), client, r, logr.Discard())
+	follower := follow.New(n.roster.FollowConfig(), n.rows, n.roster, logr.Discard())
 	n.done.Go(func() { _ = n.heartbeat.Run(ctx) })
 	n.done.Go(func() { _ = follower.Run(ctx) })
-	return n
 }
 
 func (n *node) stop() {
@@ -248,3 +256,41 @@
 		t.Errorf("100 hosts write %.0f and look %.0f times a second, 250 hosts %.0f and %.0f", writes, looks, manyWrites, manyLooks)
 	}
 }
+
+// A step of one host's time of day moves neither its own true time nor that of others, and
+// hosts without the setting announce nothing.
+func TestTrueTimeIgnoresAStepOfOneClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		nodes := startAll(rows, 4)
+		if _, known := nodes[0].roster.TrueTime(time.Now()); known {
+			t.Error("the true time is known although no host announces its clock")
+		}
+		stopAll(nodes)
+		var step time.Duration
+		for i := range nodes {
+			nodes[i] = newNode(rows, fmt.Sprintf("host-%d", i), "two")
+			offset := time.Duration(i) * 10 * time.Millisecond
+			nodes[i].heartbeat.AnnounceClock(func() time.Time {
+				if offset == 0 {
+					return time.Now().Add(step)
+				}
+				return time.Now().Add(offset)
+			})
+			nodes[i].run()
+		}
+		time.Sleep(3 * time.Second)
+		for _, step = range []time.Duration{0, 5 * time.Second, -5 * time.Second, 0} {
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				for _, n := range nodes {
+					got, known := n.roster.TrueTime(time.Now())
+					if off := got - time.Duration(time.Now().UnixNano()); !known || off < 0 || off > 30*time.Millisecond {
+						t.Fatalf("host %s is off by %s after a step of %s, known: %t", n.id, off, step, known)
+					}
+				}
+			}
+		}
+		stopAll(nodes)
+	})
+}
