gateway: count each team's requests at the time at which they began to run

Cause: usage reports need the requests that began to run at a replica, once each. Change: a stream counts with its first event. A request whose answer was lost counts, because a replica may have run it; refused ones do not. Call has the field Team, which is empty until requests are authenticated.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,14 +40,22 @@
 	Failed(ctx context.Context, id string, f quarantine.Fingerprint, r fleet.Replica, err error)
 }
 
+// UsageCounter counts the requests of each team; see usage.Counter.
+type UsageCounter interface {
+	// Began counts a request that began to run at a replica at a time.
+	Began(team string, at time.Time)
+}
+
 // Gateway forwards requests. It is safe for concurrent use.
 type Gateway struct {
 	fleet     *fleet.Fleet
 	guard     CrashGuard
 	exchanger Exchanger
-	domain    string
-	events    *telemetry.Recorder
-	log       logr.Logger
+	// usage may be nil.
+	usage  UsageCounter
+	domain string
+	events *telemetry.Recorder
+	log    logr.Logger
 }
 
 // New returns a gateway of a host. domain is the failure domain of the host; events
@@ -56,6 +64,17 @@
 	return &Gateway{fleet: f, exchanger: exchanger, guard: guard, domain: domain, events: events, log: log}
 }
 
+// SetUsageCounter sets the counter of the teams' requests. Call it before the first request.
+func (g *Gateway) SetUsageCounter(usage UsageCounter) { g.usage = usage }
+
+// countUsage counts a request that began to run at a time, unless it is on a public route
+// or scores a rollout.
+func (g *Gateway) countUsage(call Call, at time.Time) {
+	if g.usage != nil && call.Team != "" && call.Kind != telemetry.Score {
+		g.usage.Began(call.Team, at)
+	}
+}
+
 // Call is a request of a caller.
 type Call struct {
 	// ID identifies the request in logs, and selects the service of a split route.
@@ -71,6 +90,8 @@
 	Fingerprint quarantine.Fingerprint
 	// Deadline is when the caller stops waiting for the answer.
 	Deadline time.Time
+	// Team is the team whose key the request carries; empty on public routes.
+	Team string
 }
 
 // attemptResult is the result of one attempt: an answer or an error.
@@ -78,6 +99,7 @@
 	target fleet.Replica
 	resp   *fasthttp.Response
 	err    error
+	began  time.Time
 	took   time.Duration
 }
 
@@ -106,6 +128,12 @@
 	attemptLog attemptLog
 	// err is the error of the last failed attempt or reservation.
 	err error
+	// running holds the start of each attempt in flight, by replica.
+	running map[string]time.Time
+	// mayHaveBegun is the earliest start of an ended attempt that a replica may have run;
+	// zero if there is none. counted is true once the request was counted as usage.
+	mayHaveBegun time.Time
+	counted      bool
 }
 
 // Report is a summary of the attempts at a request.
@@ -126,6 +154,7 @@
 	f := &forwardCall{
 		Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), avoid: map[string]bool{},
 		results: make(chan attemptResult, max(1, call.Route.MaxAttempts)+1), attemptLog: attemptLog{began: began},
+		running: map[string]time.Time{},
 	}
 	answer, err := f.run(ctx)
 	if err != nil {
@@ -202,12 +231,13 @@
 	f.avoid[target.ID] = true
 	f.estimate = target.Estimate
 	f.attemptLog.begin(target.ID)
+	began := time.Now()
+	f.running[target.ID] = began
 	req := fasthttp.AcquireRequest()
 	f.call.Request.CopyTo(req)
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
 		resp := fasthttp.AcquireResponse()
-		began := time.Now()
 		traced := telemetry.WithFirstByteHook(ctx, func() { f.events.FirstByte(f.call.Kind, time.Since(began)) })
 		err := f.exchanger.Exchange(traced, target, req, resp, f.call.Route.Kind != routes.Idempotent)
 		f.fleet.Release(target.ID)
@@ -217,7 +247,7 @@
 		case err != nil:
 			f.guard.Failed(ctx, f.call.ID, f.call.Fingerprint, target, err)
 		}
-		f.results <- attemptResult{target: target, resp: resp, err: err, took: time.Since(began)}
+		f.results <- attemptResult{target: target, resp: resp, err: err, began: began, took: time.Since(began)}
 	}()
 	return true
 }
@@ -231,24 +261,35 @@
 		defer timer.Stop()
 		hedge = timer.C
 	}
-	select {
-	case result := <-f.results:
-		return f.handleResult(ctx, result)
-	case <-hedge:
-		if f.startAttempt(ctx) {
-			f.events.Event("second_replica_asked")
-			f.log.Info("second replica asked", append([]any{"id", f.call.ID, "sent", f.attempts, "waited", time.Since(f.attemptLog.began)}, f.estimate.LogFields()...)...)
+	counting := f.usageTimer()
+	defer counting.Stop()
+	for {
+		select {
+		case result := <-f.results:
+			return f.handleResult(ctx, result)
+		case <-counting.C:
+			f.count(f.firstBegun())
+			continue
+		case <-hedge:
+			if f.startAttempt(ctx) {
+				f.events.Event("second_replica_asked")
+				f.log.Info("second replica asked", append([]any{"id", f.call.ID, "sent", f.attempts, "waited", time.Since(f.attemptLog.began)}, f.estimate.LogFields()...)...)
+			}
+		case <-ctx.Done():
 		}
-	case <-ctx.Done():
+		return nil
 	}
-	return nil
 }
 
 // handleResult records the end of an attempt. It returns the answer for the caller,
 // or nil if there is none yet.
 func (f *forwardCall) handleResult(ctx context.Context, result attemptResult) *fasthttp.Response {
 	f.inFlight--
+	delete(f.running, result.target.ID)
 	if result.err == nil {
+		if status := result.resp.StatusCode(); status < fasthttp.StatusBadRequest || status == fasthttp.StatusInternalServerError {
+			f.count(result.began)
+		}
 		f.fleet.RecordSuccess(result.target.ID)
 		f.fleet.ObserveLatency(result.target.ID, result.took)
 		f.events.AttemptPhase("whole", result.took)
@@ -268,6 +309,9 @@
 	f.err = result.err
 	f.events.Event("attempt_failed")
 	e := failure.As(result.err)
+	if e.Outcome != failure.NotRun && (f.mayHaveBegun.IsZero() || result.began.Before(f.mayHaveBegun)) {
+		f.mayHaveBegun = result.began
+	}
 	f.attemptEnded(&f.attemptLog, f.call.ID, result.target, result.took, e)
 	switch {
 	case ctx.Err() != nil:
@@ -328,6 +372,7 @@
 	case f.lastFailure != nil:
 		return f.lastFailure, nil
 	case f.inFlight > 0 || f.unknown:
+		f.count(f.firstBegun())
 		kind := failure.UpstreamFailed
 		if ctx.Err() != nil {
 			kind = failure.DeadlineExceeded
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,6 +51,9 @@
 	// sinkErr is the error of Sink.Event that ended the stream; nil without one.
 	sinkErr    error
 	attemptLog attemptLog
+	// counted is true once the request was counted as usage. A stream that the caller
+	// resumes was counted with its first event.
+	counted bool
 }
 
 // Stream forwards a request whose answer is an event stream. The stream starts after
@@ -58,7 +61,7 @@
 // that is not a stream is stored in resp. If Stream returns an error after
 // Sink.Begin, the caller must be able to see that the stream is incomplete.
 func (g *Gateway) Stream(ctx context.Context, streamer Streamer, call Call, after int, sink Sink, resp *fasthttp.Response) error {
-	s := &streamCall{Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), sink: sink, after: after, avoid: map[string]bool{}, attemptLog: attemptLog{began: time.Now()}}
+	s := &streamCall{Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), sink: sink, after: after, avoid: map[string]bool{}, attemptLog: attemptLog{began: time.Now()}, counted: after > 0}
 	giveUp := time.Now().Add(slotTimeout(call.Route))
 	for {
 		target, err := s.reserve()
@@ -124,6 +127,10 @@
 		if !seen {
 			seen = true
 			s.events.FirstByte(s.call.Kind, time.Since(began))
+			if !s.counted {
+				s.counted = true
+				s.countUsage(s.call, time.Now())
+			}
 		}
 		s.after = id
 		s.sinkErr = s.sink.Event(raw)
