--- a/internal/rowlease/elector_test.go
+++ b/internal/rowlease/elector_test.go
@@ -1,12 +1,15 @@
 package rowlease_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
 	"github.com/sapphirehatch/sapphirehatch/internal/rowlease"
 	"github.com/sapphirehatch/sapphirehatch/internal/rowlease/rowleasetest"
@@ -175,3 +178,55 @@
 		}
 	})
 }
+
+// The response to a renewal arrives after the term, because the holder was suspended or
+// the store was slow. It must not act then, as another host may have taken over.
+func TestHolderSuspendedAtTheResponseToItsRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		first := rowleasetest.Start(rows, rowlease.Usage, "0", "a")
+		time.Sleep(2 * time.Second)
+		hosts := []*rowleasetest.Candidate{first, rowleasetest.Start(rows, rowlease.Usage, "1", "b")}
+		time.Sleep(2 * time.Second)
+		first.Rows.SlowWrites(rowlease.Table, 0, 6*time.Second)
+		w := &watchdog{t: t}
+		for range 400 {
+			time.Sleep(50 * time.Millisecond)
+			w.check(hosts)
+		}
+		if w.holder != "1" {
+			t.Errorf("host %q holds the lease, want the one that can renew it", w.holder)
+		}
+		for _, h := range hosts {
+			h.Stop()
+		}
+	})
+}
+
+// The same while the feed is suspended, too, so that the holder does not know of a new one.
+func TestHolderSuspendedWithItsFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := platformtest.NewRows().Client()
+		elector := rowlease.NewElector(rowlease.Usage, "0", "a", rowleasetest.Term, client, nil, logr.Discard())
+		elector.Synced(time.Hour, time.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- elector.Run(ctx) }()
+		time.Sleep(time.Second)
+		if _, _, ok := elector.Held(); !ok {
+			t.Fatal("the host does not hold the lease")
+		}
+		client.SlowWrites(rowlease.Table, 0, 6*time.Second)
+		time.Sleep(rowleasetest.Term)
+		for range 200 {
+			if _, _, ok := elector.Held(); ok {
+				t.Fatal("the host may act after a response that came after the term")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -14,7 +14,7 @@
 )
 
 // Recorder records the metrics of one host. On a nil Recorder, QueueWait, FirstByte,
-// AttemptPhase, ControlCall and Event do nothing: components that call them may run without metrics.
+// AttemptPhase, ControlCall, Event and EventN do nothing: components that call them may run without metrics.
 type Recorder struct{ set *metrics.Set }
 
 // New returns a Recorder without metrics.
@@ -118,9 +118,12 @@
 
 // Event counts an event, such as "job_accepted". name must be one of a fixed set. Quotes in it are removed, because
 // they would end the label value.
-func (r *Recorder) Event(name string) {
+func (r *Recorder) Event(name string) { r.EventN(name, 1) }
+
+// EventN is like Event, for n events at once.
+func (r *Recorder) EventN(name string, n int64) {
 	if r == nil {
 		return
 	}
-	r.set.GetOrCreateCounter(`sapphirehatch_events_total{event="` + strings.ReplaceAll(name, `"`, "") + `"}`).Inc()
+	r.set.GetOrCreateCounter(`sapphirehatch_events_total{event="` + strings.ReplaceAll(name, `"`, "") + `"}`).AddInt64(n)
 }
