--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,14 @@
 
 // recordedUsage records the calls of Began.
 type recordedUsage struct {
+	mu    sync.Mutex
 	teams []string
 	at    []time.Time
 }
 
 func (u *recordedUsage) Began(team string, at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.teams, u.at = append(u.teams, team), append(u.at, at)
 }
 
@@ -98,6 +102,7 @@
 			done <- err
 		}()
 		time.Sleep(usageDelay + time.Millisecond)
+		synctest.Wait()
 		if len(usage.at) != 1 || !usage.at[0].Equal(began) {
 			t.Errorf("counted at %v", usage.at)
 		}
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -71,8 +71,9 @@
 		return noReply
 	case c.late > 0:
 		c.late--
+		lateBy := c.lateBy
 		c.pending.Go(func() {
-			time.Sleep(c.lateBy)
+			time.Sleep(lateBy)
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.accept(window, counts)
@@ -97,6 +98,19 @@
 	change(c)
 }
 
+// seenCalls is what a fakeControl has seen.
+type seenCalls struct {
+	accepted map[int64]map[string]uint64
+	calls    int
+	token    uint64
+}
+
+func (c *fakeControl) seen() seenCalls {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return seenCalls{accepted: maps.Clone(c.accepted), calls: c.calls, token: c.token}
+}
+
 // sum returns the accepted requests of a team.
 func (c *fakeControl) sum(team string) uint64 {
 	c.mu.Lock()
@@ -206,14 +220,15 @@
 func wantNoGap(t *testing.T, c *fakeControl, atLeast int) {
 	t.Helper()
 	first, last := int64(0), int64(0)
-	for window := range c.accepted {
+	accepted := c.seen().accepted
+	for window := range accepted {
 		if first == 0 || window < first {
 			first = window
 		}
 		last = max(last, window)
 	}
-	if n := last - first + 1; int(n) != len(c.accepted) || len(c.accepted) < atLeast {
-		t.Errorf("%d windows are accepted between %d and %d, want all, and %d or more", len(c.accepted), first, last, atLeast)
+	if n := last - first + 1; int(n) != len(accepted) || len(accepted) < atLeast {
+		t.Errorf("%d windows are accepted between %d and %d, want all, and %d or more", len(accepted), first, last, atLeast)
 	}
 }
 
@@ -236,8 +251,8 @@
 		if page, _ := hosts[0].Rows.Parts(t.Context(), Table, ""); len(page.Parts) > 0 {
 			t.Errorf("the parts %v are left", page.Parts)
 		}
-		if control.calls > len(control.accepted) {
-			t.Errorf("%d calls for %d windows", control.calls, len(control.accepted))
+		if control.seen().calls > len(control.seen().accepted) {
+			t.Errorf("%d calls for %d windows", control.seen().calls, len(control.seen().accepted))
 		}
 		if row := rows.Row(stateRow()); len(row.Value) > 100 {
 			t.Errorf("the state is %s", row.Value)
@@ -267,8 +282,8 @@
 	simulate(t, func(t *testing.T, _ *platformtest.Rows, control *fakeControl, hosts []*process) {
 		control.set(func(c *fakeControl) { c.late, c.lateBy = 1, 12*time.Second })
 		n := request(hosts, "x", 9*time.Second)
-		for control.late > 0 {
-			time.Sleep(100 * time.Millisecond)
+		for late := 1; late > 0; time.Sleep(100 * time.Millisecond) {
+			control.set(func(c *fakeControl) { late = c.late })
 		}
 		i := holder(t, hosts)
 		hosts[i].kill()
@@ -279,7 +294,7 @@
 			t.Errorf("%d of %d requests are accepted", got, n)
 		}
 		wantNoGap(t, control, 8)
-		if control.token < 2 {
+		if control.seen().token < 2 {
 			t.Error("no takeover happened")
 		}
 	})
@@ -292,8 +307,8 @@
 		n := request(hosts, "x", 20*time.Second)
 		time.Sleep(15 * time.Second)
 		wantSum(t, control, "x", n)
-		if control.calls != len(control.accepted)+3 {
-			t.Errorf("%d calls for %d windows and 3 lost replies", control.calls, len(control.accepted))
+		if control.seen().calls != len(control.seen().accepted)+3 {
+			t.Errorf("%d calls for %d windows and 3 lost replies", control.seen().calls, len(control.seen().accepted))
 		}
 	})
 }
@@ -347,8 +362,8 @@
 		wantSum(t, control, "x", n)
 		wantNoGap(t, control, 6)
 		for _, report := range state.Decided {
-			if !maps.Equal(control.accepted[report.Window], report.Counts) {
-				t.Errorf("window %d is reported as %v, decided was %v", report.Window, control.accepted[report.Window], report.Counts)
+			if !maps.Equal(control.seen().accepted[report.Window], report.Counts) {
+				t.Errorf("window %d is reported as %v, decided was %v", report.Window, control.seen().accepted[report.Window], report.Counts)
 			}
 		}
 	})
@@ -457,7 +472,7 @@
 				time.Sleep(20 * time.Second)
 				for window, n := range want {
 					// Rounding of the clocks may move a request at the edge.
-					if got := control.accepted[window]["x"]; got+3 < n || got > n+3 {
+					if got := control.seen().accepted[window]["x"]; got+3 < n || got > n+3 {
 						t.Errorf("window %d has %d requests, want %d", window, got, n)
 					}
 				}
@@ -473,7 +488,7 @@
 		n := request(hosts, "x", 10*time.Second)
 		time.Sleep(25 * time.Second)
 		wantSum(t, control, "x", n)
-		if refused := control.calls - len(control.accepted); refused > 3 {
+		if refused := control.seen().calls - len(control.seen().accepted); refused > 3 {
 			t.Errorf("%d calls were refused, want one for each token", refused)
 		}
 	})
@@ -492,9 +507,11 @@
 				}
 				n += request(hosts, "x", outage*time.Millisecond)
 				for _, h := range hosts {
+					h.counter.mu.Lock()
 					if len(h.counter.tallies) > 14 {
 						t.Errorf("host %s keeps %d windows", h.ID, len(h.counter.tallies))
 					}
+					h.counter.mu.Unlock()
 					h.Rows.SetDown(false)
 				}
 				n += request(hosts, "x", 5*time.Second)
@@ -506,6 +523,18 @@
 	}
 }
 
+// The store takes 480 ms for each transaction of a part, as in an incident. The hosts'
+// counts must be there when the window is read.
+func TestCountsInASlowStore(t *testing.T) {
+	simulate(t, func(t *testing.T, rows *platformtest.Rows, control *fakeControl, hosts []*process) {
+		rows.SetWriteTime(480 * time.Millisecond)
+		n := request(hosts, "x", 20*time.Second)
+		time.Sleep(20 * time.Second)
+		wantSum(t, control, "x", n)
+		wantNoGap(t, control, 7)
+	})
+}
+
 // A host that the store turns away shortly before a window is read is waited for.
 func TestCountsOfAnUnreachableHostAreAwaited(t *testing.T) {
 	simulate(t, func(t *testing.T, _ *platformtest.Rows, control *fakeControl, hosts []*process) {
