--- /dev/null
+++ b/internal/rowlease/elector_test.go
@@ -0,0 +1,232 @@
+package rowlease_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
+	"github.com/sapphirehatch/sapphirehatch/internal/rowlease"
+	"github.com/sapphirehatch/sapphirehatch/internal/rowlease/rowleasetest"
+)
+
+// leaseMargin is how long before the end of the term a holder stops acting.
+var leaseMargin = rowleasetest.Term - rowlease.ActingTime(rowleasetest.Term)
+
+// watchdog checks that fencing tokens only increase, that no two hosts act under
+// the same token, and that a new holder does not act until leaseMargin after the
+// previous one.
+type watchdog struct {
+	t      *testing.T
+	fence  uint64
+	holder string
+	last   time.Time
+}
+
+func (w *watchdog) check(hosts []*rowleasetest.Candidate) {
+	w.t.Helper()
+	for _, h := range hosts {
+		fence, _, ok := h.Elector.Held()
+		if !ok {
+			continue
+		}
+		now := time.Now()
+		switch {
+		case fence < w.fence:
+			w.t.Fatalf("host %s acts under token %d after %d", h.ID, fence, w.fence)
+		case h.ID != w.holder && fence == w.fence:
+			w.t.Fatalf("hosts %s and %s act under token %d", h.ID, w.holder, fence)
+		case h.ID != w.holder && w.holder != "" && now.Sub(w.last) < leaseMargin:
+			w.t.Fatalf("host %s acts %s after %s", h.ID, now.Sub(w.last), w.holder)
+		}
+		w.fence, w.holder, w.last = fence, h.ID, now
+	}
+}
+
+func TestLeaseUnderFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { leaseUnderFaults(t, seed) })
+		})
+	}
+}
+
+func leaseUnderFaults(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	rows := platformtest.NewRows()
+	hosts := make([]*rowleasetest.Candidate, 4)
+	for i := range hosts {
+		hosts[i] = rowleasetest.Start(rows, rowlease.Weights, fmt.Sprint(i), "first")
+	}
+	w := &watchdog{t: t}
+	held := 0
+	for step := range 1200 {
+		time.Sleep(50 * time.Millisecond)
+		w.check(hosts)
+		if time.Since(w.last) < time.Second {
+			held++
+		}
+		if step%20 != 0 {
+			continue
+		}
+		h := hosts[random.IntN(len(hosts))]
+		switch random.IntN(6) {
+		case 0:
+			h.Rows.SetDown(true)
+		case 1:
+			h.Rows.LoseAnswers(1 + random.IntN(3))
+		case 2:
+			h.Rows.DelayWrites(1+random.IntN(3), time.Duration(random.IntN(4000))*time.Millisecond)
+		case 3:
+			h.Stop()
+			i := int(h.ID[0] - '0')
+			hosts[i] = rowleasetest.Start(rows, rowlease.Weights, h.ID, fmt.Sprint("boot ", step))
+		case 4:
+			rows.DropHistory()
+		default:
+			for _, h := range hosts {
+				h.Rows.SetDown(false)
+			}
+		}
+	}
+	for _, h := range hosts {
+		h.Stop()
+	}
+	if held < 300 {
+		t.Errorf("the lease was held in %d of 1200 steps", held)
+	}
+}
+
+func TestLeaseIsTakenOverFromUnreachableHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		first := rowleasetest.Start(rows, rowlease.Weights, "0", "a")
+		time.Sleep(2 * time.Second)
+		hosts := []*rowleasetest.Candidate{first, rowleasetest.Start(rows, rowlease.Weights, "1", "b")}
+		time.Sleep(2 * time.Second)
+		if _, _, ok := hosts[0].Elector.Held(); !ok {
+			t.Error("the first host does not hold the lease")
+		}
+		hosts[0].Rows.SetDown(true)
+		time.Sleep(rowleasetest.Term)
+		if _, _, ok := hosts[0].Elector.Held(); ok {
+			t.Error("the first host may act after the end of its term although it could not renew")
+		}
+		time.Sleep(2 * time.Second)
+		if _, _, ok := hosts[1].Elector.Held(); !ok {
+			t.Error("the second host has not taken the lease")
+		}
+		for _, h := range hosts {
+			h.Stop()
+		}
+	})
+}
+
+func TestResignedHolderDoesNotAct(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host := rowleasetest.Start(platformtest.NewRows(), rowlease.Weights, "0", "a")
+		time.Sleep(2 * time.Second)
+		host.Elector.Resign()
+		if _, _, ok := host.Elector.Held(); ok {
+			t.Error("a host that resigned may act")
+		}
+		host.Stop()
+	})
+}
+
+// A holder whose token was refused as too low must not call with it again. It gets a
+// higher one, or the duty would stop until the process ends.
+func TestHolderContinuesUnderANewTokenAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		host := rowleasetest.Start(rows, rowlease.Usage, "0", "a")
+		time.Sleep(2 * time.Second)
+		before, _, ok := host.Elector.Held()
+		if !ok {
+			t.Fatal("the host does not hold the lease")
+		}
+		host.Elector.Abandon(before)
+		if _, _, ok := host.Elector.Held(); ok {
+			t.Error("the host may act under the refused token")
+		}
+		time.Sleep(2 * time.Second)
+		if after, _, ok := host.Elector.Held(); !ok || after <= before {
+			t.Errorf("the host holds the lease: %t, token %d after %d", ok, after, before)
+		}
+		host.Stop()
+	})
+}
+
+// Each lease has its own row, so a host may hold one and not another.
+func TestLeasesAreIndependent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		usage := rowleasetest.Start(rows, rowlease.Usage, "0", "a")
+		time.Sleep(time.Second)
+		scaling := rowleasetest.Start(rows, rowlease.Scaling, "1", "b")
+		time.Sleep(2 * time.Second)
+		for _, h := range []*rowleasetest.Candidate{usage, scaling} {
+			if _, _, ok := h.Elector.Held(); !ok {
+				t.Errorf("host %s does not hold its lease", h.ID)
+			}
+			h.Stop()
+		}
+	})
+}
+
+// The response to a renewal arrives after the term, because the holder was suspended or
+// the store was slow. It must not act then, as another host may have taken over.
+func TestHolderSuspendedAtTheResponseToItsRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		first := rowleasetest.Start(rows, rowlease.Usage, "0", "a")
+		time.Sleep(2 * time.Second)
+		hosts := []*rowleasetest.Candidate{first, rowleasetest.Start(rows, rowlease.Usage, "1", "b")}
+		time.Sleep(2 * time.Second)
+		first.Rows.SlowWrites(rowlease.Table, 0, 6*time.Second)
+		w := &watchdog{t: t}
+		for range 400 {
+			time.Sleep(50 * time.Millisecond)
+			w.check(hosts)
+		}
+		if w.holder != "1" {
+			t.Errorf("host %q holds the lease, want the one that can renew it", w.holder)
+		}
+		for _, h := range hosts {
+			h.Stop()
+		}
+	})
+}
+
+// The same while the feed is suspended, too, so that the holder does not know of a new one.
+func TestHolderSuspendedWithItsFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := platformtest.NewRows().Client()
+		elector := rowlease.NewElector(rowlease.Usage, "0", "a", rowleasetest.Term, client, nil, logr.Discard())
+		elector.Synced(time.Hour, time.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- elector.Run(ctx) }()
+		time.Sleep(time.Second)
+		if _, _, ok := elector.Held(); !ok {
+			t.Fatal("the host does not hold the lease")
+		}
+		client.SlowWrites(rowlease.Table, 0, 6*time.Second)
+		time.Sleep(rowleasetest.Term)
+		for range 200 {
+			if _, _, ok := elector.Held(); ok {
+				t.Fatal("the host may act after a response that came after the term")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -14,7 +14,7 @@
 )
 
 // Recorder records the metrics of one host. On a nil Recorder, QueueWait, FirstByte,
-// AttemptPhase and Event do nothing: components that call them may run without metrics.
+// AttemptPhase, ControlCall, Event and EventN do nothing: components that call them may run without metrics.
 type Recorder struct{ set *metrics.Set }
 
 // New returns a Recorder without metrics.
@@ -78,6 +78,19 @@
 	r.set.GetOrCreateCounter(`sapphirehatch_store_calls_total{call="` + call + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// ControlCall records the duration and the outcome of a call to the control API. call is its name, such as "usage".
+func (r *Recorder) ControlCall(call string, took time.Duration, err error) {
+	if r == nil {
+		return
+	}
+	outcome := "ok"
+	if err != nil {
+		outcome = string(failure.As(err).Kind)
+	}
+	r.set.GetOrCreateHistogram(`sapphirehatch_control_seconds{call="` + call + `"}`).Update(took.Seconds())
+	r.set.GetOrCreateCounter(`sapphirehatch_control_calls_total{call="` + call + `",outcome="` + outcome + `"}`).Inc()
+}
+
 // QueueWait records how long a request waited on this host until an upstream could accept it.
 func (r *Recorder) QueueWait(kind Kind, took time.Duration) {
 	if r == nil {
@@ -105,9 +118,12 @@
 
 // Event counts an event, such as "job_accepted". name must be one of a fixed set. Quotes in it are removed, because
 // they would end the label value.
-func (r *Recorder) Event(name string) {
+func (r *Recorder) Event(name string) { r.EventN(name, 1) }
+
+// EventN is like Event, for n events at once.
+func (r *Recorder) EventN(name string, n int64) {
 	if r == nil {
 		return
 	}
-	r.set.GetOrCreateCounter(`sapphirehatch_events_total{event="` + strings.ReplaceAll(name, `"`, "") + `"}`).Inc()
+	r.set.GetOrCreateCounter(`sapphirehatch_events_total{event="` + strings.ReplaceAll(name, `"`, "") + `"}`).AddInt64(n)
 }
