job: recover the team of a job from its spec

Cause: a process of an older version that writes an owner row back drops its team. The spec was then looked for under the keys of jobs without a team, so the job could not be restored, and every caller could read the job. Change: without a team in the owner row, the rows of the spec that decode and name the team of their keys are used, and the decision whose job it is takes the team from them. A restored run writes the team back.

--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -31,7 +31,10 @@
 type jobState struct {
 	owner   OwnerRow
 	version uint64
-	ended   bool
+	// teamKnown is true if owner.Team was compared with the spec. A row that a process of an
+	// older version wrote has no team.
+	teamKnown bool
+	ended     bool
 	// endedAt is when this process learned of the end.
 	endedAt time.Time
 	// orphanSince is the start of the current takeover delay: when this host first
@@ -227,6 +230,12 @@
 	if state.owner.Host != owner.Host || state.owner.Incarnation != owner.Incarnation {
 		state.orphanSince = time.Time{}
 	}
+	if owner.AcceptedMS != state.owner.AcceptedMS {
+		// Another job with the same ID.
+		state.teamKnown = false
+	} else if owner.Team == "" {
+		owner.Team = state.owner.Team
+	}
 	state.owner, state.version = owner, version
 	if newest, seen := m.newestStep[owner.Model]; owner.Model != "" && (!seen || owner.Step > newest) {
 		m.newestStep[owner.Model] = owner.Step
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -79,8 +79,12 @@
 	if *texts, err = r.m.store.readTexts(r.ctx, r.id); err != nil {
 		return err
 	}
+	r.m.recordTeam(r.id, r.owner, spec.Team)
+	r.m.mu.Lock()
+	r.team = spec.Team
+	r.m.mu.Unlock()
 	r.mu.Lock()
-	r.spec = spec
+	r.spec, r.owner.Team = spec, spec.Team
 	r.mu.Unlock()
 	r.log.Info("job restored", "rollouts", len(spec.Rollouts), "listed", len(*results), "texts", len(*texts))
 	return nil
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
@@ -132,6 +133,49 @@
 	return state.owner, true
 }
 
+// TeamOf returns the team of the job with an owner row; empty if it has none. A process of an
+// older version drops the team from an owner row that it writes, so the team of a row
+// without one is taken from the spec. The spec is read from the store at most once for each
+// job that the change feed has shown.
+func (m *Manager) TeamOf(ctx context.Context, id string, owner OwnerRow) (string, error) {
+	if owner.Team != "" {
+		return owner.Team, nil
+	}
+	m.mu.Lock()
+	state, r := m.jobs[id], m.runs[id]
+	if state != nil && state.version > 0 && state.owner.AcceptedMS == owner.AcceptedMS && (state.teamKnown || state.owner.Team != "") {
+		defer m.mu.Unlock()
+		return state.owner.Team, nil
+	}
+	m.mu.Unlock()
+	var spec *Spec
+	if r != nil {
+		spec = r.specification()
+	}
+	if spec == nil {
+		var err error
+		spec, err = m.store.readSpec(ctx, id, owner)
+		if errors.Is(err, errNoSpec) {
+			// Nothing is left that names a team.
+			return "", nil
+		}
+		if err != nil {
+			return "", err
+		}
+	}
+	m.recordTeam(id, owner, spec.Team)
+	return spec.Team, nil
+}
+
+// recordTeam records the team that the spec of the job with an owner row has.
+func (m *Manager) recordTeam(id string, owner OwnerRow, team string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if state := m.jobs[id]; state != nil && state.version > 0 && state.owner.AcceptedMS == owner.AcceptedMS {
+		state.owner.Team, state.teamKnown = team, true
+	}
+}
+
 // readPage returns listed results from memory if this host runs the job, else from
 // the store.
 func (m *Manager) readPage(ctx context.Context, id string, r *jobRun, owner OwnerRow, from int) (Page, error) {
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -96,7 +96,8 @@
 type jobRun struct {
 	m  *Manager
 	id string
-	// team is owner.Team, which never changes.
+	// team is the job's team. It changes once, under m.mu, if the owner row has lost it and
+	// the spec is read.
 	team string
 	// token identifies this run in the owner rows that it writes.
 	token  string
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -46,6 +47,9 @@
 // errOwnershipLost cancels the attempts of a job that another host owns.
 var errOwnershipLost = errors.New("the job has another owner")
 
+// errNoSpec is the cause of the error of a job without spec rows.
+var errNoSpec = errors.New("the store has no spec rows")
+
 // store reads and writes the rows of jobs.
 type store struct{ rows platform.RowStore }
 
@@ -103,15 +107,20 @@
 	return append(txs, tx), owner, nil
 }
 
-// specKey returns the key of a chunk of a team's spec. A spec is written before the row
-// that creates the job, so two teams that submit the same ID must not write the same rows.
-func specKey(team string, chunk int) string {
+// specKey returns the key of a chunk of a team's spec.
+func specKey(team string, chunk int) string { return chunkKey(specPrefix(team), chunk) }
+
+func chunkKey(prefix string, chunk int) string { return fmt.Sprintf("%s%06d", prefix, chunk) }
+
+// specPrefix returns the prefix of the keys of a team's specs. A spec is written before the
+// row that creates the job, so two teams that submit the same ID must not write the same rows.
+func specPrefix(team string) string {
 	if team == "" {
-		return fmt.Sprintf("%06d", chunk)
+		return ""
 	}
 	// The hash of the name has a fixed length and characters that any row key may have.
 	sum := sha256.Sum256([]byte(team))
-	return fmt.Sprintf("%x/%06d", sum[:teamKeyBytes], chunk)
+	return fmt.Sprintf("%x/", sum[:teamKeyBytes])
 }
 
 func splitChunks(encoded []byte, size int) [][]byte {
@@ -147,23 +156,54 @@
 	return owner, version, ended, nil
 }
 
-// readSpec returns the spec of the job with an owner row.
+// readSpec returns the spec of the job with an owner row. A process of an older version drops
+// the team from an owner row that it writes. The rows of a spec without a team are then
+// preferred, and next those of the team that the spec itself names. The error wraps
+// errNoSpec if the job has no spec rows.
 func (s store) readSpec(ctx context.Context, job string, owner OwnerRow) (*Spec, error) {
 	rows, err := follow.ReadPart(ctx, s.rows, tableSpecs, job)
 	if err != nil {
 		return nil, err
 	}
+	if len(rows) == 0 {
+		return nil, failure.Wrap(errNoSpec, failure.Internal, "", "job %s has no spec", job)
+	}
+	prefixes := []string{specPrefix(owner.Team)}
+	if owner.Team == "" {
+		for _, row := range rows {
+			prefix := row.Key[:strings.LastIndexByte(row.Key, '/')+1]
+			if !slices.Contains(prefixes, prefix) {
+				prefixes = append(prefixes, prefix)
+			}
+		}
+	}
+	for _, prefix := range prefixes {
+		var spec *Spec
+		// A submission that was refused may have left the first rows of its spec. They
+		// are not decoded without the last ones.
+		if spec, err = decodeSpec(job, rows, prefix, owner.Chunks); err == nil && specPrefix(spec.Team) == prefix {
+			return spec, nil
+		}
+	}
+	if err == nil {
+		err = failure.New(failure.Internal, "", "spec of job %s is of another team", job)
+	}
+	return nil, err
+}
+
+// decodeSpec decodes the spec in the first chunks whose keys have a prefix.
+func decodeSpec(job string, rows []platform.VersionedRow, prefix string, chunks int) (*Spec, error) {
 	var encoded []byte
 	found := 0
 	for _, row := range rows {
-		if found < owner.Chunks && row.Key == specKey(owner.Team, found) {
+		if found < chunks && row.Key == chunkKey(prefix, found) {
 			encoded = append(encoded, row.Value...)
 			found++
 		}
 	}
 	spec := new(Spec)
 	if err := json.Unmarshal(encoded, spec); err != nil {
-		return nil, failure.Wrap(err, failure.Internal, "", "cannot decode spec of job %s: found %d rows, want %d", job, found, owner.Chunks)
+		return nil, failure.Wrap(err, failure.Internal, "", "cannot decode spec of job %s: found %d rows, want %d", job, found, chunks)
 	}
 	return spec, nil
 }
--- a/internal/job/team_test.go
+++ b/internal/job/team_test.go
@@ -110,3 +110,82 @@
 		})
 	}
 }
+
+// dropTeam writes the owner row of a job back without its team, as a process of an older
+// version does.
+func (c *cluster) dropTeam(id string) {
+	row, _, err := c.ownerRow(id)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	row.Team = ""
+	write, err := ownerWrite(id, row)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.rows.Put(write.RowID, write.Value)
+}
+
+// A process of an older version that writes the owner row drops the team. Nobody else may
+// get the job by that, and a host that takes it over must find its spec. A refused
+// submission of another team has left rows in the store.
+func TestTeamIsDroppedFromOwnerRow(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		a := c.startHost("a")
+		s := largeSpec("red")
+		c.accept(a, s)
+		restore := forgetJob(a, s.ID)
+		for _, team := range []string{"blue", ""} {
+			_ = a.manager.Accept(context.Background(), largeSpec(team), 1)
+		}
+		restore()
+		a.kill()
+		c.dropTeam(s.ID)
+		time.Sleep(3 * time.Second)
+		b := c.startHost("b")
+		row, _, err := c.ownerRow(s.ID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		row.Team = ""
+		if team, err := b.manager.TeamOf(context.Background(), s.ID, row); team != "red" || err != nil {
+			t.Errorf("the job is of team %q, %v", team, err)
+		}
+		c.waitForResults(b, s, 12*time.Second)
+		if body, err := b.manager.Body(context.Background(), s.ID, s.Rollouts[0].ID); err != nil || !bytes.Equal(body, s.Rollouts[0].Body) {
+			t.Errorf("the body is not that of the team: %d bytes, %v", len(body), err)
+		}
+		if row, _, err := c.ownerRow(s.ID); err != nil || row.Team != "red" {
+			t.Errorf("the owner row has team %q, %v", row.Team, err)
+		}
+		c.engines.mu.Lock()
+		defer c.engines.mu.Unlock()
+		if len(c.engines.teams) != 1 || c.engines.teams["red"] == 0 {
+			t.Errorf("attempts by team are %v, want only those of red", maps.Clone(c.engines.teams))
+		}
+	})
+}
+
+// The spec of a job without a team must be read for the decision at most once, since its
+// results may be read at any rate.
+func TestTeamOfJobWithoutTeamIsReadOnce(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		a, b := c.startHost("a"), c.startHost("b")
+		s := spec("job", 4)
+		c.accept(a, s)
+		c.waitForResults(a, s, 12*time.Second)
+		time.Sleep(time.Second)
+		for _, h := range []*host{a, b} {
+			row, known := h.manager.KnownOwner(s.ID)
+			before := h.rows.Reads()
+			for range 5 {
+				if team, err := h.manager.TeamOf(context.Background(), s.ID, row); team != "" || err != nil || !known {
+					t.Errorf("known %t, team %q, %v", known, team, err)
+				}
+			}
+			if reads := h.rows.Reads() - before; reads > 1 {
+				t.Errorf("host %s made %d reads", h.id, reads)
+			}
+		}
+	})
+}
