job: acknowledge the repeat of a job from before there were teams

Cause: a job that was accepted without a team, before there were teams or at a host with an older configuration, was answered 409 (not run) when its trainer repeated the submission with a key, although the job runs. Change: if the stored job or the repeat has no team, the repeat is acknowledged if rollouts, model, step and minimum version agree with the owner row; otherwise the conflict has an unknown outcome. Two different teams keep the conflict that was not run. TestJobIDOfTwoTeams expected not run for a submission without a team; it now submits a different job and expects the unknown outcome. Result: TestRepeatAcrossTheIntroductionOfTeams failed with a conflict that was not run, and passes.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -18,7 +18,7 @@
 // StoreUnavailable and outcome NotRun if the job was not stored and never will be,
 // kind StoreInDoubt if it may have been stored, and kind InvalidRequest if it
 // cannot be encoded. If the stored job belongs to another team, the error has kind Conflict
-// and outcome NotRun.
+// and outcome NotRun; if one of the jobs has no team and they differ, its outcome is Unknown.
 func (m *Manager) Accept(ctx context.Context, spec *Spec, configVersion uint64) error {
 	m.mu.Lock()
 	var state jobState
@@ -27,7 +27,7 @@
 	}
 	m.mu.Unlock()
 	if state.version > 0 {
-		return m.acceptedBefore(spec, state.owner, state.version)
+		return m.acceptedBefore(ctx, spec, state.owner, state.version)
 	}
 	now, err := m.acceptTime(ctx, spec.ID)
 	if err != nil {
@@ -72,15 +72,30 @@
 	return nil
 }
 
-// acceptedBefore returns the result of accepting a job whose ID a stored job has.
-func (m *Manager) acceptedBefore(spec *Spec, owner OwnerRow, version uint64) error {
-	if owner.Team != spec.Team {
+// acceptedBefore returns the result of accepting a job whose ID a stored job has. If one of
+// them has no team, they can be the same job, accepted before there were teams or at a host
+// with an older configuration, so the error never says that the job was not stored.
+func (m *Manager) acceptedBefore(ctx context.Context, spec *Spec, owner OwnerRow, version uint64) error {
+	team := owner.Team
+	if team != spec.Team {
+		var err error
+		if team, err = m.TeamOf(ctx, spec.ID, owner); err != nil {
+			return failure.Wrap(err, failure.StoreInDoubt, failure.Unknown, "job %s may have been stored", spec.ID)
+		}
+	}
+	isSame := owner.Total == len(spec.Rollouts) && owner.Model == spec.Model && owner.Step == spec.Step && owner.MinVersion == spec.MinVersion
+	switch {
+	case team == spec.Team, (team == "" || spec.Team == "") && isSame:
+		m.log.Info("job was already accepted", "job", spec.ID, "team", spec.Team, "version", version)
+		return nil
+	case team == "" || spec.Team == "":
 		m.events.Event("job_of_another_team")
-		m.log.Info("job not accepted", "job", spec.ID, "team", spec.Team, "version", version, "reason", "another team has a job with this id")
-		return failure.New(failure.Conflict, failure.NotRun, "the id of job %s is in use", spec.ID)
+		m.log.Info("job not accepted", "job", spec.ID, "team", spec.Team, "version", version, "reason", "the stored job with this id differs")
+		return failure.New(failure.Conflict, failure.Unknown, "the id of job %s is in use", spec.ID)
 	}
-	m.log.Info("job was already accepted", "job", spec.ID, "team", spec.Team, "version", version)
-	return nil
+	m.events.Event("job_of_another_team")
+	m.log.Info("job not accepted", "job", spec.ID, "team", spec.Team, "version", version, "reason", "another team has a job with this id")
+	return failure.New(failure.Conflict, failure.NotRun, "the id of job %s is in use", spec.ID)
 }
 
 // compareWithStored compares a job with the stored one that has its ID. The stored one may be
@@ -91,7 +106,7 @@
 		owner, version, _, err := m.store.readOwner(ctx, spec.ID)
 		switch {
 		case err == nil && version > 0:
-			return m.acceptedBefore(spec, owner, version)
+			return m.acceptedBefore(ctx, spec, owner, version)
 		case err == nil:
 			return failure.New(failure.StoreUnavailable, failure.NotRun, "job %s was deleted while it was submitted", spec.ID)
 		case !pause.For(ctx, inDoubtRetryDelay):
