--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -45,7 +45,7 @@
 		m.mu.Unlock()
 		if !found {
 			var err error
-			if owner, err = m.readCurrentOwner(ctx, id); err != nil {
+			if owner, err = m.StoredOwner(ctx, id); err != nil {
 				return Page{}, err
 			}
 			fresh = true
@@ -62,7 +62,7 @@
 		}
 		if left <= 0 {
 			var err error
-			if owner, err = m.readCurrentOwner(ctx, id); err != nil {
+			if owner, err = m.StoredOwner(ctx, id); err != nil {
 				return Page{}, err
 			}
 			if from < owner.Listed {
@@ -100,9 +100,9 @@
 	m.lastWait = time.Now()
 }
 
-// readCurrentOwner reads the owner row from the store, for a job that the change
-// feed does not show or shows too late.
-func (m *Manager) readCurrentOwner(ctx context.Context, id string) (OwnerRow, error) {
+// StoredOwner reads the owner row from the store, for a job that the change feed does not
+// show or shows too late. The error has kind NotFound if the job does not exist.
+func (m *Manager) StoredOwner(ctx context.Context, id string) (OwnerRow, error) {
 	owner, version, _, err := m.store.readOwner(ctx, id)
 	if err != nil {
 		return owner, err
@@ -119,7 +119,7 @@
 	if owner, known := m.KnownOwner(id); known {
 		return owner, nil
 	}
-	return m.readCurrentOwner(ctx, id)
+	return m.StoredOwner(ctx, id)
 }
 
 // KnownOwner returns the owner row of a job if this host knows it without asking the store.
@@ -212,7 +212,7 @@
 	if spec == nil {
 		var err error
 		if state == nil || state.version == 0 {
-			if owner, err = m.readCurrentOwner(ctx, id); err != nil {
+			if owner, err = m.StoredOwner(ctx, id); err != nil {
 				return nil, err
 			}
 		}
