logline: no empty team in log lines

Cause: lines on requests, streams, refusals and submissions had an empty team field in deployments without teams, where there was none before. Change: the field is added only if there is a team.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/logline"
 	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 	"github.com/sapphirehatch/sapphirehatch/internal/quarantine"
@@ -134,12 +135,12 @@
 	if err != nil {
 		e := failure.As(err)
 		g.events.Event("request_failed")
-		g.log.Info("request failed", "id", call.ID, "team", call.Team, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
+		logline.WithTeam(g.log, call.Team).Info("request failed", "id", call.ID, "route", call.Route.Name, "service", f.service, "kind", e.Kind,
 			"outcome", e.Outcome, "sent", f.attempts, "retry_after", e.RetryAfter, "configuration", call.ConfigVersion, "trail", f.attemptLog.String(), "error", e.Error())
 		return f.report(), e
 	}
-	g.log.Info("request answered", append([]any{
-		"id", call.ID, "team", call.Team, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
+	logline.WithTeam(g.log, call.Team).Info("request answered", append([]any{
+		"id", call.ID, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
 		"status", answer.StatusCode(), "sent", f.attempts, "took", time.Since(began), "configuration", call.ConfigVersion, "trail", f.attemptLog.String(),
 	}, f.estimate.LogFields()...)...)
 	answer.CopyTo(resp)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/fleet"
+	"github.com/sapphirehatch/sapphirehatch/internal/logline"
 	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 )
@@ -65,8 +66,8 @@
 		if err == nil {
 			err = s.attempt(ctx, streamer, target, resp)
 			if err == nil {
-				g.log.Info("stream ended", append([]any{
-					"id", call.ID, "team", call.Team, "route", call.Route.Name, "service", s.service, "replica", target.ID, "status", resp.StatusCode(), "sent", s.attempts,
+				logline.WithTeam(g.log, call.Team).Info("stream ended", append([]any{
+					"id", call.ID, "route", call.Route.Name, "service", s.service, "replica", target.ID, "status", resp.StatusCode(), "sent", s.attempts,
 					"events", s.after, "configuration", call.ConfigVersion, "trail", s.attemptLog.String(),
 				}, target.Estimate.LogFields()...)...)
 				return nil
@@ -74,7 +75,7 @@
 		}
 		if end := s.endOrRetry(ctx, err, giveUp); end != nil {
 			e := failure.As(end)
-			g.log.Info("stream failed", "id", call.ID, "team", call.Team, "route", call.Route.Name, "service", s.service, "kind", e.Kind, "outcome", e.Outcome,
+			logline.WithTeam(g.log, call.Team).Info("stream failed", "id", call.ID, "route", call.Route.Name, "service", s.service, "kind", e.Kind, "outcome", e.Outcome,
 				"sent", s.attempts, "after", s.after, "configuration", call.ConfigVersion, "trail", s.attemptLog.String(), "error", e.Error())
 			return e
 		}
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/logline"
 	"github.com/sapphirehatch/sapphirehatch/internal/pause"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 )
@@ -60,8 +61,8 @@
 		return err
 	}
 	m.events.Event("job_accepted")
-	m.log.Info("job accepted", "job", spec.ID, "owner", owner.Host, "version", result.Version, "rollouts", len(spec.Rollouts),
-		"team", spec.Team, "model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion, "configuration", configVersion)
+	logline.WithTeam(m.log, spec.Team).Info("job accepted", "job", spec.ID, "owner", owner.Host, "version", result.Version, "rollouts", len(spec.Rollouts),
+		"model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion, "configuration", configVersion)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	accepted := Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}
@@ -83,18 +84,19 @@
 			return failure.Wrap(err, failure.StoreInDoubt, failure.Unknown, "job %s may have been stored", spec.ID)
 		}
 	}
+	log := logline.WithTeam(m.log, spec.Team)
 	isSame := owner.Total == len(spec.Rollouts) && owner.Model == spec.Model && owner.Step == spec.Step && owner.MinVersion == spec.MinVersion
 	switch {
 	case team == spec.Team, (team == "" || spec.Team == "") && isSame:
-		m.log.Info("job was already accepted", "job", spec.ID, "team", spec.Team, "version", version)
+		log.Info("job was already accepted", "job", spec.ID, "version", version)
 		return nil
 	case team == "" || spec.Team == "":
 		m.events.Event("job_of_another_team")
-		m.log.Info("job not accepted", "job", spec.ID, "team", spec.Team, "version", version, "reason", "the stored job with this id differs")
+		log.Info("job not accepted", "job", spec.ID, "version", version, "reason", "the stored job with this id differs")
 		return failure.New(failure.Conflict, failure.Unknown, "the id of job %s is in use", spec.ID)
 	}
 	m.events.Event("job_of_another_team")
-	m.log.Info("job not accepted", "job", spec.ID, "team", spec.Team, "version", version, "reason", "another team has a job with this id")
+	log.Info("job not accepted", "job", spec.ID, "version", version, "reason", "another team has a job with this id")
 	return failure.New(failure.Conflict, failure.NotRun, "the id of job %s is in use", spec.ID)
 }
 
