platform: report null teams in a configuration

Cause: "tenants":null passed config check without a word, although it opens the deployment to everyone, as a template without teams may produce.

--- a/internal/command/config_test.go
+++ b/internal/command/config_test.go
@@ -14,8 +14,9 @@
 	for text, want := range map[string]string{
 		`{"version":1,"tenants":[{"name":"a","api_keys":["secret1"]}]}`:                                         "",
 		`{"version":1,"tenants":[{"name":"a","api_keys":["secret1"]},{"name":"b","api_keys":["x","secret1"]}]}`: `teams ["a" "b"] list the same key`,
-		`{"version":1,"tenants":[{"name":"a"}]}`:                                                                `team "a" has no keys`,
-		`{"version":`:                                                                                           "can't be decoded",
+		`{"version":1,"tenants":null}`:           `"tenants" is null`,
+		`{"version":1,"tenants":[{"name":"a"}]}`: `team "a" has no keys`,
+		`{"version":`:                            "can't be decoded",
 	} {
 		path := filepath.Join(t.TempDir(), "config.json")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
