--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
@@ -44,7 +45,7 @@
 		m.mu.Unlock()
 		if !found {
 			var err error
-			if owner, err = m.readCurrentOwner(ctx, id); err != nil {
+			if owner, err = m.StoredOwner(ctx, id); err != nil {
 				return Page{}, err
 			}
 			fresh = true
@@ -61,7 +62,7 @@
 		}
 		if left <= 0 {
 			var err error
-			if owner, err = m.readCurrentOwner(ctx, id); err != nil {
+			if owner, err = m.StoredOwner(ctx, id); err != nil {
 				return Page{}, err
 			}
 			if from < owner.Listed {
@@ -99,9 +100,9 @@
 	m.lastWait = time.Now()
 }
 
-// readCurrentOwner reads the owner row from the store, for a job that the change
-// feed does not show or shows too late.
-func (m *Manager) readCurrentOwner(ctx context.Context, id string) (OwnerRow, error) {
+// StoredOwner reads the owner row from the store, for a job that the change feed does not
+// show or shows too late. The error has kind NotFound if the job does not exist.
+func (m *Manager) StoredOwner(ctx context.Context, id string) (OwnerRow, error) {
 	owner, version, _, err := m.store.readOwner(ctx, id)
 	if err != nil {
 		return owner, err
@@ -118,7 +119,7 @@
 	if owner, known := m.KnownOwner(id); known {
 		return owner, nil
 	}
-	return m.readCurrentOwner(ctx, id)
+	return m.StoredOwner(ctx, id)
 }
 
 // KnownOwner returns the owner row of a job if this host knows it without asking the store.
@@ -132,6 +133,49 @@
 	return state.owner, true
 }
 
+// TeamOf returns the team of the job with an owner row; empty if it has none. A process of an
+// older version drops the team from an owner row that it writes, so the team of a row
+// without one is taken from the spec. The spec is read from the store at most once for each
+// job that the change feed has shown.
+func (m *Manager) TeamOf(ctx context.Context, id string, owner OwnerRow) (string, error) {
+	if owner.Team != "" {
+		return owner.Team, nil
+	}
+	m.mu.Lock()
+	state, r := m.jobs[id], m.runs[id]
+	if state != nil && state.version > 0 && state.owner.AcceptedMS == owner.AcceptedMS && (state.teamKnown || state.owner.Team != "") {
+		defer m.mu.Unlock()
+		return state.owner.Team, nil
+	}
+	m.mu.Unlock()
+	var spec *Spec
+	if r != nil {
+		spec = r.specification()
+	}
+	if spec == nil {
+		var err error
+		spec, err = m.store.readSpec(ctx, id, owner)
+		if errors.Is(err, errNoSpec) {
+			// Nothing is left that names a team.
+			return "", nil
+		}
+		if err != nil {
+			return "", err
+		}
+	}
+	m.recordTeam(id, owner, spec.Team)
+	return spec.Team, nil
+}
+
+// recordTeam records the team that the spec of the job with an owner row has.
+func (m *Manager) recordTeam(id string, owner OwnerRow, team string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if state := m.jobs[id]; state != nil && state.version > 0 && state.owner.AcceptedMS == owner.AcceptedMS {
+		state.owner.Team, state.teamKnown = team, true
+	}
+}
+
 // readPage returns listed results from memory if this host runs the job, else from
 // the store.
 func (m *Manager) readPage(ctx context.Context, id string, r *jobRun, owner OwnerRow, from int) (Page, error) {
@@ -168,7 +212,7 @@
 	if spec == nil {
 		var err error
 		if state == nil || state.version == 0 {
-			if owner, err = m.readCurrentOwner(ctx, id); err != nil {
+			if owner, err = m.StoredOwner(ctx, id); err != nil {
 				return nil, err
 			}
 		}
