placement: count the memory of engines

Cause: an engine crashes if the rollouts that it holds exceed its memory, and nothing counted it. A rollout counts with its num_tokens (with its length hint if it has none). A host sends an engine no rollout that would take its own ones there above the capacity, unless it has none there. The tokens of other hosts are guessed from the load report and only order the engines, so that the guess never keeps a rollout waiting. The log of a sent rollout has the field tokens.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,8 @@
 	// its age; both are zero without one. See LoadReport.
 	WorkTime    float64
 	WorkTimeAge time.Duration
+	// Tokens is the number of tokens of engine memory that this host's rollouts may take.
+	Tokens int
 }
 
 // LogFields returns the estimate as keys and values of a log line.
@@ -89,6 +91,9 @@
 	if e.WorkTime > 0 {
 		fields = append(fields, "work_time", e.WorkTime, "work_time_age", e.WorkTimeAge.Round(time.Millisecond))
 	}
+	if e.Tokens > 0 {
+		fields = append(fields, "tokens", e.Tokens)
+	}
 	return fields
 }
 
@@ -113,6 +118,8 @@
 	// unanswered is the number of them that were reserved with LimitUnanswered and
 	// that the replica has not begun to answer.
 	unanswered int
+	// tokens is the number of tokens of engine memory that this host's rollouts may take.
+	tokens int
 	// failures is the number of failures since the last success.
 	failures int
 	// retryAt is the end of the present backoff.
@@ -334,7 +341,7 @@
 		m.limit.Take(now)
 	}
 	r := m.snapshot()
-	r.Estimate = LoadEstimate{InFlight: m.inFlight, OtherInFlight: replicas[chosen].OtherInFlight, Slowdown: replicas[chosen].Slowdown}
+	r.Estimate = LoadEstimate{InFlight: m.inFlight, OtherInFlight: replicas[chosen].OtherInFlight, Slowdown: replicas[chosen].Slowdown, Tokens: m.tokens}
 	if !m.reportedAt.IsZero() {
 		r.Estimate.ReportAge = now.Sub(m.reportedAt)
 	}
@@ -342,6 +349,7 @@
 		r.Estimate.WorkTime, r.Estimate.WorkTimeAge = m.workTime, now.Sub(m.workTimeAt)
 	}
 	m.inFlight++
+	m.tokens += want.Tokens
 	if want.LimitUnanswered {
 		m.unanswered++
 	}
@@ -440,7 +448,7 @@
 // median latency of the service in seconds.
 func (m *member) placementReplica(model string, median float64, now time.Time) placement.Replica {
 	v := placement.Replica{
-		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, OtherInFlight: m.currentOtherInFlight(now), Unanswered: m.unanswered,
+		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, OtherInFlight: m.currentOtherInFlight(now), Unanswered: m.unanswered, Tokens: m.tokens,
 		Draining: m.draining(), Missing: !m.missingSince.IsZero(), RetryAt: m.retryAt, Slowdown: 1,
 		Version: max(m.Models[model], m.observedVersions[model]),
 	}
@@ -469,6 +477,15 @@
 	})
 }
 
+// ReleaseTokens returns the tokens of a reservation made by Reserve. Call it before
+// Release, which wakes the rollouts that wait for room.
+func (f *Fleet) ReleaseTokens(id string, tokens int) {
+	f.update(id, func(m *member) (freesSlot bool) {
+		m.tokens = max(0, m.tokens-tokens)
+		return false
+	})
+}
+
 // RecordAnswer records that a replica began to answer a request that was reserved with
 // LimitUnanswered, or that the request ended without an answer. Call it once for each.
 func (f *Fleet) RecordAnswer(id string) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -272,3 +272,26 @@
 		}
 	})
 }
+
+// Guards against tokens that are not returned, which would close an engine for good, and
+// against a release for a restarted engine that makes room which the new one does not have.
+func TestTokensAreReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(logr.Discard())
+		f.Put(Replica{ID: "r", Service: "s", Address: "a", Slots: 6})
+		want := Requirements{Service: "s", Request: placement.Request{Tokens: 400, TokenCapacity: 1000}}
+		for round := range 3 {
+			if got := reserveAll(f, want); got["r"] != 2 {
+				t.Errorf("round %d: %d reservations of 400 tokens, want 2 of 1000", round, got["r"])
+			}
+			for range 2 {
+				f.ReleaseTokens("r", 400)
+				f.Release("r")
+			}
+		}
+		f.ReleaseTokens("r", 400)
+		if got := reserveAll(f, want); got["r"] != 2 {
+			t.Errorf("%d reservations after a superfluous release, want 2", got["r"])
+		}
+	})
+}
--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -59,10 +59,14 @@
 	pad map[string]string
 	// slots is the semaphore of an engine's attempts; a missing one sets no limit.
 	slots map[string]chan struct{}
+	// tokens is the number of tokens of an engine's running rollouts, and mostTokens the
+	// largest number that any engine had.
+	tokens     map[string]int
+	mostTokens int
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, gone: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, length: testEvents}
+	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, gone: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, tokens: map[string]int{}, length: testEvents}
 }
 
 func (e *fakeEngines) Generate(ctx context.Context, target fleet.Replica, request GenerateRequest, sink func(Event) error) error {
@@ -87,7 +91,14 @@
 		e.crashes[request.Rollout.ID]--
 		e.lastCrash = time.Now()
 	}
+	e.tokens[target.ID] += request.Rollout.Tokens
+	e.mostTokens = max(e.mostTokens, e.tokens[target.ID])
 	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.tokens[target.ID] -= request.Rollout.Tokens
+	}()
 	if crash {
 		return failure.New(failure.UpstreamFailed, failure.Unknown, "engine %s closed the connection without an answer", target.ID)
 	}
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -77,7 +77,8 @@
 		service, model      string
 		minVersion, version uint64
 	}
-	full := map[need]bool{}
+	// full holds the smallest token count for which no engine had room.
+	full := map[need]int{}
 	left := 0
 	waits := map[string]int{}
 	defer func() { m.fleet.RecordWaiting(waits) }()
@@ -86,13 +87,17 @@
 		want := c.requirements(m, time.Now())
 		n := need{want.Service, want.Model, want.MinVersion, want.Version}
 		waits[want.Service]++
-		if full[n] && len(c.task.avoid) == 0 {
+		if tokens, isFull := full[n]; isFull && want.Tokens >= tokens && len(c.task.avoid) == 0 {
 			left++
 			continue
 		}
 		target, err := m.fleet.Reserve(want)
 		if err != nil {
-			full[n] = !want.AllowQueue
+			if want.AllowQueue {
+				delete(full, n)
+			} else {
+				full[n] = want.Tokens
+			}
 			left++
 			continue
 		}
@@ -106,6 +111,7 @@
 func (c candidate) requirements(m *Manager, now time.Time) fleet.Requirements {
 	want := fleet.Requirements{Service: c.rule.Service, Model: c.run.spec.Model, Request: placement.Request{
 		Domain: m.domain, MinVersion: c.run.spec.MinVersion, Avoid: c.task.avoid, AllowQueue: now.Sub(c.task.waitingSince) > queueAfter, LimitUnanswered: true,
+		Tokens: c.task.rollout.memoryTokens(), TokenCapacity: c.rule.TokenCapacity,
 	}}
 	if c.rule.OnPolicy && len(c.task.events) > 0 {
 		want.Version = c.task.events[0].Version
@@ -217,6 +223,7 @@
 	if c.task.state != taskWaiting || r.isEnded || r.isLost {
 		r.mu.Unlock()
 		r.m.fleet.RecordAnswer(target.ID)
+		r.m.fleet.ReleaseTokens(target.ID, c.task.rollout.memoryTokens())
 		r.m.fleet.Release(target.ID)
 		return
 	}
@@ -247,6 +254,7 @@
 		})
 		answered()
 		cancel(nil)
+		r.m.fleet.ReleaseTokens(target.ID, task.rollout.memoryTokens())
 		r.m.fleet.Release(target.ID)
 		r.attemptEnded(ctx, c, target, err)
 		notify(r.m.placementWake)
--- a/internal/job/interfaces.go
+++ b/internal/job/interfaces.go
@@ -57,6 +57,9 @@
 type Rule struct {
 	// Service is the name of the engines' service.
 	Service string
+	// TokenCapacity is the number of tokens that fit into the memory of an engine; zero
+	// if not known.
+	TokenCapacity int
 	// MaxAttempts is the number of attempts answered with a failure after which a
 	// rollout is given up; at least one is made.
 	MaxAttempts int
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -39,6 +39,16 @@
 	Score *ScoreCall `json:"score,omitempty"`
 }
 
+// memoryTokens returns the number of tokens of an engine's memory that the rollout may
+// take. An engine that runs out of memory ends all its rollouts, so the largest number
+// counts where it is known, and the hint, which leaves out the prompt, only where it isn't.
+func (r *Rollout) memoryTokens() int {
+	if r.Tokens > 0 {
+		return r.Tokens
+	}
+	return max(0, r.LengthHint)
+}
+
 // ScoreCall is a request to a service that scores rollouts.
 type ScoreCall struct {
 	ID string `json:"id"`
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -628,3 +628,31 @@
 		}
 	})
 }
+
+// Guards against engines that run out of memory, which ends all their rollouts: a job has
+// large and small rollouts, of which the slots of an engine would take too many. The one
+// that is larger than the memory is still run, at an engine without others.
+func TestRolloutsFitTheMemoryOfEngines(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		const capacity = 1000
+		c.rules.rule.TokenCapacity = capacity
+		a := c.startHost("a")
+		s := spec("job", 24)
+		for i := range s.Rollouts {
+			s.Rollouts[i].Tokens = []int{100, 450, 300}[i%3]
+		}
+		c.accept(a, s)
+		c.waitForResults(a, s, 20*time.Second)
+		if c.engines.mostTokens > capacity {
+			t.Errorf("an engine had %d tokens, want at most %d", c.engines.mostTokens, capacity)
+		}
+		large := spec("large", 3)
+		large.Rollouts[1].Tokens = 2 * capacity
+		c.accept(a, large)
+		for _, r := range c.waitForResults(a, large, 20*time.Second) {
+			if r.State != Completed {
+				t.Errorf("rollout %s is %s", r.ID, r.State)
+			}
+		}
+	})
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,9 @@
 	// Unanswered is the number of this host's requests in flight that the replica has
 	// not begun to answer.
 	Unanswered int
+	// Tokens is the number of tokens of the replica's memory that this host's requests
+	// may take.
+	Tokens int
 	// Draining replicas take no new requests.
 	Draining bool
 	// Missing replicas disappeared from discovery a moment ago.
@@ -65,6 +68,11 @@
 	// AllowQueue allows replicas without a free slot, up to maxQueued requests beyond
 	// the slots.
 	AllowQueue bool
+	// Tokens is the number of tokens of a replica's memory that the request may take,
+	// and TokenCapacity the number that fit there. If either is zero, memory does not
+	// matter.
+	Tokens        int
+	TokenCapacity int
 }
 
 // Costs are relative to the cost of an empty replica of median latency, which is 1.
@@ -92,25 +100,45 @@
 
 // Choose returns the index of the replica with the lowest cost for a request, or -1
 // if the request has to wait. The replicas in req.Avoid, and those missing from
-// discovery, are chosen only if no other replica is left.
+// discovery, are chosen only if no other replica is left. Among the others, those whose
+// memory is estimated to be full are chosen only if no other is left.
 func Choose(req Request, replicas []Replica, now time.Time) int {
-	for _, lastResort := range []bool{false, true} {
-		best, bestCost := -1, 0.0
-		for i := range replicas {
-			r := &replicas[i]
-			isLastResort := r.Missing || req.Avoid[r.ID]
-			if isLastResort != lastResort || !usable(req, r, now) {
-				continue
-			}
-			if cost := Cost(req, r); best < 0 || cost < bestCost {
-				best, bestCost = i, cost
-			}
+	best, bestRank, bestCost := -1, 0, 0.0
+	for i := range replicas {
+		r := &replicas[i]
+		if !usable(req, r, now) {
+			continue
 		}
-		if best >= 0 {
-			return best
+		rank := 0
+		switch {
+		case r.Missing || req.Avoid[r.ID]:
+			rank = 2
+		case estimatedFull(req, r):
+			rank = 1
+		}
+		if cost := Cost(req, r); best < 0 || rank < bestRank || rank == bestRank && cost < bestCost {
+			best, bestRank, bestCost = i, rank, cost
 		}
 	}
-	return -1
+	return best
+}
+
+// countsMemory reports whether the memory of replicas matters for a request.
+func countsMemory(req Request) bool { return req.Tokens > 0 && req.TokenCapacity > 0 }
+
+// exceedsMemory reports whether this host's own requests at a replica leave no room for
+// another one. Their number of tokens is known, and they end, so a request that waits for
+// room gets it. A replica without requests of this host is open to any request, also to
+// one that is larger than its memory.
+func exceedsMemory(req Request, r *Replica) bool {
+	return countsMemory(req) && r.Tokens > 0 && r.Tokens+req.Tokens > req.TokenCapacity
+}
+
+// estimatedFull reports whether a replica's memory has no room for a request if those of
+// other hosts take as much as this one. That is a guess, so it only orders the replicas:
+// it must not keep a request waiting.
+func estimatedFull(req Request, r *Replica) bool {
+	return countsMemory(req) && float64(r.Tokens)+(r.OtherInFlight+1)*float64(req.Tokens) > float64(req.TokenCapacity)
 }
 
 // usable reports whether a replica may run a request now.
@@ -123,6 +151,9 @@
 	case req.Version != 0 && r.Version != 0 && r.Version != req.Version:
 		return false
 	}
+	if exceedsMemory(req, r) {
+		return false
+	}
 	if r.Slots == 0 {
 		return true
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -92,3 +92,33 @@
 		})
 	}
 }
+
+// Guards against engines that run out of memory, which ends all their rollouts, and
+// against an estimate of memory that keeps a rollout from every engine.
+func TestMemoryOfEngines(t *testing.T) {
+	req := Request{Tokens: 3000, TokenCapacity: 10_000}
+	tests := []struct {
+		name     string
+		request  Request
+		replicas []Replica
+		want     int
+	}{
+		{"no engine that this host has filled", req, []Replica{{ID: "a", Slots: 6, InFlight: 2, Tokens: 8000}, {ID: "b", Slots: 6, InFlight: 5, Tokens: 5000}}, 1},
+		{"an engine that becomes exactly full", req, []Replica{{ID: "a", Slots: 6, InFlight: 2, Tokens: 7000}}, 0},
+		{"wait if this host has filled all", req, []Replica{{ID: "a", Slots: 6, InFlight: 2, Tokens: 7001}}, -1},
+		{"wait also if the request may queue", Request{Tokens: 3000, TokenCapacity: 10_000, AllowQueue: true}, []Replica{{ID: "a", Slots: 6, InFlight: 2, Tokens: 7001}}, -1},
+		{"not one that other hosts seem to have filled", req, []Replica{{ID: "a", Slots: 6, OtherInFlight: 3}, {ID: "b", Slots: 6, InFlight: 2, OtherInFlight: 1.2, Tokens: 200}}, 1},
+		{"one that other hosts seem to have filled, if no other has room", req, []Replica{{ID: "a", Slots: 6, OtherInFlight: 5}, {ID: "b", Slots: 6, InFlight: 2, Tokens: 9000}}, 0},
+		{"a seemingly full one before one that failed the request", Request{Tokens: 3000, TokenCapacity: 10_000, Avoid: map[string]bool{"b": true}}, []Replica{{ID: "b", Slots: 6}, {ID: "a", Slots: 6, OtherInFlight: 4}}, 1},
+		{"a request larger than the memory at an engine without others", Request{Tokens: 12_000, TokenCapacity: 10_000}, []Replica{{ID: "a", Slots: 6, InFlight: 1, Tokens: 100}, {ID: "b", Slots: 6}}, 1},
+		{"no capacity known", Request{Tokens: 3000}, []Replica{{ID: "a", Slots: 6, InFlight: 2, Tokens: 90_000}}, 0},
+		{"no tokens known", Request{TokenCapacity: 10}, []Replica{{ID: "a", Slots: 6, InFlight: 2, Tokens: 90_000}}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Choose(test.request, test.replicas, now); got != test.want {
+				t.Errorf("chose %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -96,6 +96,9 @@
 	// Slots is the number of requests that each engine runs concurrently; zero for
 	// plain services.
 	Slots int
+	// TokenCapacity is the number of tokens that fit into the memory of an engine; zero
+	// if not known.
+	TokenCapacity int
 	// Models are the names of the models that the engines of the service serve.
 	Models []string
 }
