placement: choose by the average load of others and by long slow spells

Cause: hosts overloaded replicas in turn while others were idle. The main cause was the measured latency: calls of different lengths and slow spells of 0.6 s make it differ by more than the load costs, so each host filled the apparently fastest replica first. Single reports of 50 to 500 ms of age made it worse at high load. Ties were no cause: the fleet passes the replicas in random order. Change: the observations of a replica move from fleet to placement.Observations, without a clock. For plain requests and streams the load of other hosts is an average over 2 s, and a replica counts as slow only in a long slow spell, by its work times (SlownessFilter) or from 1.85 times the median of the latency averaged over 2.5 s. Whether a replica has room is decided by the last report as before. Rollouts use the filters of speed only where engines report their work time; otherwise they are placed as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,13 +30,8 @@
 	// doubles with each further failure up to maxFailureBackoff.
 	minFailureBackoff = 300 * time.Millisecond
 	maxFailureBackoff = 4 * time.Second
-	// loadDecayTime is the time constant of the exponential decay of a reported load.
-	loadDecayTime = 700 * time.Millisecond
-	// latencyWeight is the weight of a new measurement in a replica's moving average.
-	// An engine yields about a hundred measurements a second.
-	latencyWeight = 0.1
-	// latencyMaxAge is the age at which an average without new measurements is ignored.
-	latencyMaxAge = 8 * time.Second
+	// usualWorkTime is the work time of a load report at usual speed.
+	usualWorkTime = 100
 )
 
 // Replica is a replica of a service as discovery shows it.
@@ -129,19 +124,13 @@
 	// observedVersions is the newest weight version of each model seen in answers.
 	observedVersions map[string]uint64
 
-	// otherInFlight is the number of requests in the last load report beyond those
-	// of this host, and reportedAt the time of that report; zero without one.
-	otherInFlight float64
-	reportedAt    time.Time
+	// observed holds the observations of the replica's load and speed.
+	observed placement.Observations
 	// workTime is the last reported work time in percent of the usual one, and
 	// workTimeAt when it was reported; zero without one.
 	workTime   float64
 	workTimeAt time.Time
 
-	// latency is the moving average of the measured latency in seconds, and latencyAt
-	// the time of the last measurement.
-	latency   float64
-	latencyAt time.Time
 	// lastEventAt is when the replica last sent an event of a stream.
 	lastEventAt time.Time
 
@@ -342,9 +331,7 @@
 	}
 	r := m.snapshot()
 	r.Estimate = LoadEstimate{InFlight: m.inFlight, OtherInFlight: replicas[chosen].OtherInFlight, Slowdown: replicas[chosen].Slowdown, Tokens: m.tokens}
-	if !m.reportedAt.IsZero() {
-		r.Estimate.ReportAge = now.Sub(m.reportedAt)
-	}
+	r.Estimate.ReportAge = m.observed.ReportAge(now)
 	if m.workTime > 0 {
 		r.Estimate.WorkTime, r.Estimate.WorkTimeAge = m.workTime, now.Sub(m.workTimeAt)
 	}
@@ -376,10 +363,10 @@
 	members := f.membersOf(want.Service, now)
 	ring := ringDistances(members, want.Model)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	median := medianLatency(members, now)
+	medians := medianLatencies(members, now)
 	replicas := make([]placement.Replica, len(members))
 	for i, m := range members {
-		replicas[i] = m.placementReplica(want.Model, median, now)
+		replicas[i] = m.placementReplica(want.Model, want.LimitUnanswered, medians, now)
 		replicas[i].RingDistance = ring[m.ID]
 		if wait := f.limitedFor(m, now); wait > 0 {
 			replicas[i].RetryAt = lo.Latest(replicas[i].RetryAt, now.Add(wait))
@@ -428,47 +415,26 @@
 	return distances
 }
 
-// medianLatency returns the median latency in seconds of the members measured within
-// latencyMaxAge; zero if there are none.
-func medianLatency(members []*member, now time.Time) float64 {
-	var latencies []float64
-	for _, m := range members {
-		if m.latency > 0 && now.Sub(m.latencyAt) < latencyMaxAge {
-			latencies = append(latencies, m.latency)
-		}
-	}
-	if len(latencies) == 0 {
-		return 0
-	}
-	slices.Sort(latencies)
-	return latencies[len(latencies)/2]
+// medianLatencies returns the median latencies of the members with a recent measurement.
+func medianLatencies(members []*member, now time.Time) placement.Latencies {
+	return placement.MedianLatencies(members, func(m *member) *placement.Observations { return &m.observed }, now)
 }
 
-// placementReplica returns the replica as input of package placement. median is the
-// median latency of the service in seconds.
-func (m *member) placementReplica(model string, median float64, now time.Time) placement.Replica {
+// placementReplica returns the replica as input of package placement. rollout is true if
+// the request is a rollout, and medians are the median latencies of the service.
+func (m *member) placementReplica(model string, rollout bool, medians placement.Latencies, now time.Time) placement.Replica {
+	estimate := m.observed.Estimate(rollout, medians, now)
 	v := placement.Replica{
-		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, OtherInFlight: m.currentOtherInFlight(now), Unanswered: m.unanswered, Tokens: m.tokens,
-		Draining: m.draining(), Missing: !m.missingSince.IsZero(), RetryAt: m.retryAt, Slowdown: 1,
+		ID: m.ID, Domain: m.Domain, Slots: m.Slots, InFlight: m.inFlight, OtherInFlight: estimate.OtherInFlight, OtherDrift: estimate.OtherDrift, Unanswered: m.unanswered, Tokens: m.tokens,
+		Draining: m.draining(), Missing: !m.missingSince.IsZero(), RetryAt: m.retryAt, Slowdown: estimate.Slowdown,
 		Version: max(m.Models[model], m.observedVersions[model]),
 	}
 	if until := m.refusedUntil[model]; until.After(v.RetryAt) {
 		v.RetryAt = until
 	}
-	if median > 0 && m.latency > 0 && now.Sub(m.latencyAt) < latencyMaxAge {
-		v.Slowdown = m.latency / median
-	}
 	return v
 }
 
-// currentOtherInFlight returns the reported load of other hosts, decayed by its age.
-func (m *member) currentOtherInFlight(now time.Time) float64 {
-	if m.reportedAt.IsZero() {
-		return 0
-	}
-	return m.otherInFlight * math.Exp(-float64(now.Sub(m.reportedAt))/float64(loadDecayTime))
-}
-
 // Release ends a reservation made by Reserve.
 func (f *Fleet) Release(id string) {
 	f.update(id, func(m *member) (freesSlot bool) {
@@ -555,14 +521,15 @@
 	f.update(id, func(m *member) (freesSlot bool) {
 		now := time.Now()
 		counted := m.inFlight - max(0, m.unanswered-1)
-		others := max(0, float64(report.Running+report.Waiting-counted))
-		freesSlot = others < m.currentOtherInFlight(now)
-		m.otherInFlight, m.reportedAt = others, now
+		before := m.observed.OtherInFlight(now)
+		m.observed.ObserveLoad(report.Running+report.Waiting, counted, now)
+		freesSlot = m.observed.OtherInFlight(now) < before
 		if report.Slots > 0 && m.Slots == 0 {
 			m.Slots = report.Slots
 		}
 		if report.WorkTime > 0 {
 			m.workTime, m.workTimeAt = report.WorkTime, now
+			m.observed.ObserveWorkTime(report.WorkTime/usualWorkTime, now)
 		}
 		return freesSlot
 	})
@@ -572,19 +539,13 @@
 // time between two events of an engine, or an answer of a plain service.
 func (f *Fleet) ObserveLatency(id string, took time.Duration) {
 	f.update(id, func(m *member) (freesSlot bool) {
-		now := time.Now()
-		if m.latency <= 0 || now.Sub(m.latencyAt) > latencyMaxAge {
-			m.latency = took.Seconds()
-		} else {
-			m.latency += latencyWeight * (took.Seconds() - m.latency)
-		}
-		m.latencyAt = now
+		m.observed.ObserveLatency(took, time.Now())
 		return false
 	})
 }
 
-// Slowdown returns the latency of a replica divided by the median latency of its
-// service; 1 if not known.
+// Slowdown returns how many times longer rollouts take at a replica than at the median
+// one of its service; 1 if not known.
 func (f *Fleet) Slowdown(id string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -594,7 +555,7 @@
 	}
 	now := time.Now()
 	members := f.membersOf(m.Service, now)
-	return m.placementReplica("", medianLatency(members, now), now).Slowdown
+	return m.placementReplica("", true, medianLatencies(members, now), now).Slowdown
 }
 
 // HasVersion reports whether a replica of a service that takes requests may serve a weight
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,6 +22,10 @@
 	InFlight int
 	// OtherInFlight is the estimated number of other hosts' requests in flight.
 	OtherInFlight float64
+	// OtherDrift is OtherInFlight less the number by the last report alone. Whether a
+	// replica has room is decided by the last report: with the average, a host would
+	// wait for seconds after an overload that is over, since it gets no reports meanwhile.
+	OtherDrift float64
 	// Unanswered is the number of this host's requests in flight that the replica has
 	// not begun to answer.
 	Unanswered int
@@ -160,7 +164,7 @@
 	if req.LimitUnanswered && r.Unanswered >= unansweredWindow(r.Slots) {
 		return false
 	}
-	load := float64(r.InFlight) + r.OtherInFlight
+	load := float64(r.InFlight) + r.OtherInFlight - r.OtherDrift
 	if req.AllowQueue {
 		return load < float64(r.Slots+maxQueued)
 	}
