--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,6 +126,11 @@
 
 	// observed holds the observations of the replica's load and speed.
 	observed placement.Observations
+	// reported is the number of requests in the last load report, if hasReport.
+	reported  int
+	hasReport bool
+	// sent measures the requests that this host sends to the replica.
+	sent demandMeter
 	// workTime is the last reported work time in percent of the usual one, and
 	// workTimeAt when it was reported; zero without one.
 	workTime   float64
@@ -326,6 +331,7 @@
 	}
 	m := members[chosen]
 	f.meter(want.Service).add(now)
+	m.sent.add(now)
 	if m.limit != nil {
 		m.limit.Take(now)
 	}
@@ -522,14 +528,19 @@
 		now := time.Now()
 		counted := m.inFlight - max(0, m.unanswered-1)
 		before := m.observed.OtherInFlight(now)
-		m.observed.ObserveLoad(report.Running+report.Waiting, counted, now)
+		m.reported, m.hasReport = report.Running+report.Waiting, true
+		m.observed.ObserveLoad(m.reported, counted, now)
 		freesSlot = m.observed.OtherInFlight(now) < before
 		if report.Slots > 0 && m.Slots == 0 {
 			m.Slots = report.Slots
 		}
 		if report.WorkTime > 0 {
 			m.workTime, m.workTimeAt = report.WorkTime, now
+			wasSlow := m.observed.Slow(now)
 			m.observed.ObserveWorkTime(report.WorkTime/usualWorkTime, now)
+			if slow := m.observed.Slow(now); slow != wasSlow {
+				f.log.Info("speed of a replica changed", "replica", id, "service", m.Service, "slow", slow, "work_time", report.WorkTime)
+			}
 		}
 		return freesSlot
 	})
--- a/internal/placement/observations.go
+++ b/internal/placement/observations.go
@@ -67,6 +67,9 @@
 	o.slowness.Observe(workTime, now)
 }
 
+// Slow reports whether the replica's machine is in a long slow spell by its work times.
+func (o *Observations) Slow(now time.Time) bool { return o.slowness.Slowdown(now) > 1 }
+
 // OtherInFlight returns the reported load of other hosts, decayed by its age.
 func (o *Observations) OtherInFlight(now time.Time) float64 {
 	if o.reportedAt.IsZero() {
