placement: average latencies over the time that samples stand for

Change: a sample counts for 0.6 s at most, and an average counts only if its samples stand for 1.5 s.

--- a/internal/placement/observations.go
+++ b/internal/placement/observations.go
@@ -13,8 +13,8 @@
 	// steadyLoadDecayTime that of its decay. A single report of 50 to 500 ms of age says
 	// more of the past than of the present: hosts that follow it overload replicas in
 	// turn. The average shows what other hosts lastingly do at a replica.
-	steadyLoadTime      = 2 * time.Second
-	steadyLoadDecayTime = 4 * time.Second
+	steadyLoadTime      = 3 * time.Second
+	steadyLoadDecayTime = 2 * time.Second
 	// latencyWeight is the weight of a new measurement in a replica's moving average.
 	// An engine yields about a hundred measurements a second.
 	latencyWeight = 0.1
@@ -37,7 +37,7 @@
 	// the time of the last measurement. steadyLatency is the average over slownessTime.
 	latency       float64
 	latencyAt     time.Time
-	steadyLatency timedAverage
+	steadyLatency sampledAverage
 }
 
 // timedAverage is an average in which a value counts for the time since the one before.
@@ -55,6 +55,41 @@
 	a.at = now
 }
 
+// sampledAverage is an average over slownessTime in which a sample counts for the time
+// since the one before, but at most for sampleSpan.
+type sampledAverage struct {
+	// sum is the weighted sum of the samples, and weight the sum of their weights: the
+	// share of the time of the average for which samples stand.
+	sum, weight float64
+	at          time.Time
+}
+
+// minSampledWeight is the smallest weight of an average that counts: samples stand for
+// 1.5 s, more than two short spells. One sample after a silence, or in the first spell that
+// is seen, must not show a long one.
+const minSampledWeight = 0.45
+
+func (a *sampledAverage) observe(value float64, now time.Time) {
+	span := time.Duration(0) // The first sample stands for no time.
+	if !a.at.IsZero() {
+		span = max(0, now.Sub(a.at))
+	}
+	counted := min(span, sampleSpan)
+	a.sum, a.weight = decay(a.sum, span), decay(a.weight, span)
+	share := 1 - decay(1, counted)
+	a.sum += share * value
+	a.weight += share
+	a.at = now
+}
+
+// value returns the average; ok is false if it has too few samples.
+func (a *sampledAverage) value(now time.Time) (value float64, ok bool) {
+	if a.weight == 0 || decay(a.weight, max(0, now.Sub(a.at)-sampleSpan)) < minSampledWeight {
+		return 0, false
+	}
+	return a.sum / a.weight, true
+}
+
 // ObserveLoad records a load report: the number of requests of all hosts, of which own
 // are this host's.
 func (o *Observations) ObserveLoad(requests, own int, now time.Time) {
@@ -94,7 +129,7 @@
 		o.latency += latencyWeight * (took.Seconds() - o.latency)
 	}
 	o.latencyAt = now
-	o.steadyLatency.observe(took.Seconds(), slownessTime, now)
+	o.steadyLatency.observe(took.Seconds(), now)
 }
 
 // Latencies are the median latencies of the replicas of a service, in seconds; zero if
@@ -105,16 +140,24 @@
 func MedianLatencies[T any](replicas []T, observations func(T) *Observations, now time.Time) Latencies {
 	var recent, steady []float64
 	for _, r := range replicas {
-		if o := observations(r); o.hasLatency(now) {
-			recent, steady = append(recent, o.latency), append(steady, o.steadyLatency.value)
+		o := observations(r)
+		if o.hasLatency(now) {
+			recent = append(recent, o.latency)
+		}
+		if value, ok := o.steadyLatency.value(now); ok {
+			steady = append(steady, value)
 		}
 	}
-	if len(recent) == 0 {
-		return Latencies{}
+	return Latencies{median(recent), median(steady)}
+}
+
+// median returns the median of values, which it sorts; zero if there are none.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
 	}
-	slices.Sort(recent)
-	slices.Sort(steady)
-	return Latencies{recent[len(recent)/2], steady[len(steady)/2]}
+	slices.Sort(values)
+	return values[len(values)/2]
 }
 
 func (o *Observations) hasLatency(now time.Time) bool {
@@ -144,18 +187,15 @@
 // latency, since events show the speed of an engine and nothing else tells a slow one.
 func (o *Observations) Estimate(rollout bool, medians Latencies, now time.Time) Estimate {
 	e := Estimate{OtherInFlight: o.OtherInFlight(now), Slowdown: 1}
-	measured := o.hasLatency(now) && medians.recent > 0
 	if rollout && !o.slowness.Known() {
-		if measured {
+		if o.hasLatency(now) && medians.recent > 0 {
 			e.Slowdown = o.latency / medians.recent
 		}
 		return e
 	}
 	e.Slowdown = o.slowness.Slowdown(now)
-	if measured {
-		if steady := o.steadyLatency.value / medians.steady; steady >= slowFrom {
-			e.Slowdown = max(e.Slowdown, steady)
-		}
+	if latency, ok := o.steadyLatency.value(now); ok && medians.steady > 0 && latency >= slowFrom*medians.steady {
+		e.Slowdown = max(e.Slowdown, latency/medians.steady)
 	}
 	if !rollout {
 		last := e.OtherInFlight
