fleet: leave engines out of the spread of what a host sent

Cause: each owner of jobs fills an arc of the engines first, so their spread is high by design and would hide that of plain services. Change: only plain services count in sapphirehatch_replica_sent_spread.

--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -14,7 +14,8 @@
 // all services, and 0 if no service has enough requests to tell.
 type Spread struct {
 	// Sent is the number of requests that this host sent to the busiest replica in the
-	// last seconds, relative to the mean of its service.
+	// last seconds, relative to the mean of its service. Engines don't count: each owner
+	// of jobs fills an arc of them first.
 	Sent float64
 	// Load is the reported load of the busiest replica relative to the mean of its
 	// service.
@@ -34,7 +35,9 @@
 		if m.draining() || m.expired(now) {
 			continue
 		}
-		sent[m.Service] = append(sent[m.Service], m.sent.perSecond(now)*demandWindow.Seconds())
+		if len(m.Models) == 0 {
+			sent[m.Service] = append(sent[m.Service], m.sent.perSecond(now)*demandWindow.Seconds())
+		}
 		if age := m.observed.ReportAge(now); m.hasReport && age < spreadMaxAge {
 			load[m.Service] = append(load[m.Service], float64(m.reported))
 		}
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/placement"
 )
 
 // Guards against a spread that shows chance, old reports or replicas that get no requests.
@@ -30,7 +32,14 @@
 				t.Fatal(err)
 			}
 		}
-		if got := f.Spread(); got.Sent < 1 || got.Sent > 2 {
+		f.Put(Replica{ID: "e", Service: "engines", Address: "e", Models: map[string]uint64{"m": 1}})
+		f.Put(Replica{ID: "f", Service: "engines", Address: "f", Models: map[string]uint64{"m": 1}})
+		for range 30 {
+			if _, err := f.Reserve(Requirements{Service: "engines", Request: placement.Request{ExcludeID: "f"}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := f.Spread(); got.Sent < 1 || got.Sent >= 2 {
 			t.Errorf("spread after 30 requests is %+v", got)
 		}
 		for range 40 {
