--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -166,8 +166,27 @@
 		if p := f.Slowdown("a"); p < 3 || p > 4 {
 			t.Errorf("slowdown of the slow engine is %.2f", p)
 		}
-		if id, _, _ := f.Peek(Requirements{Service: "s"}); id == "a" {
-			t.Error("the slow engine was preferred")
+		rollout := Requirements{Service: "s", Request: placement.Request{LimitUnanswered: true}}
+		for range 50 {
+			if id, _, _ := f.Peek(rollout); id == "a" {
+				t.Fatal("the slow engine was preferred for a rollout")
+			}
+		}
+		// For other requests measurements must stand for some time, since those of one moment
+		// may be of one short slow spell.
+		for range 20 {
+			time.Sleep(140 * time.Millisecond)
+			f.ObserveLatency("a", 140*time.Millisecond)
+			f.ObserveLatency("b", 40*time.Millisecond)
+			f.ObserveLatency("c", 40*time.Millisecond)
+		}
+		if p := f.Slowdown("a"); p < 3 || p > 4 {
+			t.Errorf("slowdown of the slow engine after 3 s is %.2f", p)
+		}
+		for range 50 {
+			if id, _, _ := f.Peek(Requirements{Service: "s"}); id == "a" {
+				t.Fatal("the slow replica was preferred for a request")
+			}
 		}
 	})
 }
@@ -272,3 +291,26 @@
 		}
 	})
 }
+
+// Guards against tokens that are not returned, which would close an engine for good, and
+// against a release for a restarted engine that makes room which the new one does not have.
+func TestTokensAreReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(logr.Discard())
+		f.Put(Replica{ID: "r", Service: "s", Address: "a", Slots: 6})
+		want := Requirements{Service: "s", Request: placement.Request{Tokens: 400, TokenCapacity: 1000}}
+		for round := range 3 {
+			if got := reserveAll(f, want); got["r"] != 2 {
+				t.Errorf("round %d: %d reservations of 400 tokens, want 2 of 1000", round, got["r"])
+			}
+			for range 2 {
+				f.ReleaseTokens("r", 400)
+				f.Release("r")
+			}
+		}
+		f.ReleaseTokens("r", 400)
+		if got := reserveAll(f, want); got["r"] != 2 {
+			t.Errorf("%d reservations after a superfluous release, want 2", got["r"])
+		}
+	})
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -34,6 +34,8 @@
 	// Tokens is the number of tokens of the prompt plus the largest number that
 	// may be generated.
 	Tokens int `json:"tokens,omitempty"`
+	// PromptTokens is the number of tokens of the prompt; zero if not known.
+	PromptTokens int `json:"prompt_tokens,omitempty"`
 	// LengthHint is the trainer's estimate of the number of generated tokens; zero
 	// if there is none.
 	LengthHint int `json:"length_hint,omitempty"`
@@ -41,6 +43,21 @@
 	Score *ScoreCall `json:"score,omitempty"`
 }
 
+// memoryTokens returns the number of tokens of an engine's memory that the rollout is
+// expected to take: its prompt and the hint of its length, but at most Tokens. Without a
+// hint Tokens counts. The largest length is several times the usual one, so counting it
+// for each rollout would leave most slots of an engine empty.
+func (r *Rollout) memoryTokens() int {
+	switch {
+	case r.Tokens <= 0:
+		return max(0, r.LengthHint)
+	case r.LengthHint <= 0 || r.PromptTokens <= 0:
+		return r.Tokens
+	}
+	// Each summand is bounded first, because a trainer may send any number.
+	return min(r.Tokens, min(r.Tokens, r.PromptTokens)+min(r.Tokens, r.LengthHint))
+}
+
 // ScoreCall is a request to a service that scores rollouts.
 type ScoreCall struct {
 	ID string `json:"id"`
--- a/internal/job/manager_test.go
+++ b/internal/job/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -628,3 +629,53 @@
 		}
 	})
 }
+
+// Guards against engines that run out of memory, which ends all their rollouts: a job has
+// large and small rollouts, of which the slots of an engine would take too many. The one
+// that is larger than the memory is still run, at an engine without others.
+func TestRolloutsFitTheMemoryOfEngines(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		const capacity = 1000
+		c.rules.rule.TokenCapacity = capacity
+		a := c.startHost("a")
+		s := spec("job", 24)
+		for i := range s.Rollouts {
+			s.Rollouts[i].Tokens = []int{100, 450, 300}[i%3]
+		}
+		c.accept(a, s)
+		c.waitForResults(a, s, 20*time.Second)
+		if c.engines.mostTokens > capacity {
+			t.Errorf("an engine had %d tokens, want at most %d", c.engines.mostTokens, capacity)
+		}
+		large := spec("large", 3)
+		large.Rollouts[1].Tokens = 2 * capacity
+		c.accept(a, large)
+		for _, r := range c.waitForResults(a, large, 20*time.Second) {
+			if r.State != Completed {
+				t.Errorf("rollout %s is %s", r.ID, r.State)
+			}
+		}
+	})
+}
+
+// Counting the largest length of each rollout would leave most slots of an engine empty: it is
+// several times the expected one.
+func TestMemoryTokensOfARollout(t *testing.T) {
+	for _, test := range []struct {
+		rollout Rollout
+		want    int
+	}{
+		{Rollout{Tokens: 14_000, PromptTokens: 1_000, LengthHint: 2_000}, 3_000},
+		{Rollout{Tokens: 14_000, PromptTokens: 1_000, LengthHint: 90_000}, 14_000},
+		{Rollout{Tokens: 14_000, PromptTokens: 1_000}, 14_000},
+		{Rollout{Tokens: 14_000, LengthHint: 2_000}, 14_000},
+		{Rollout{LengthHint: 2_000}, 2_000},
+		{Rollout{Tokens: 14_000, PromptTokens: math.MaxInt, LengthHint: math.MaxInt}, 14_000},
+		{Rollout{}, 0},
+		{Rollout{LengthHint: -5}, 0},
+	} {
+		if got := test.rollout.memoryTokens(); got != test.want {
+			t.Errorf("%+v takes %d tokens, want %d", test.rollout, got, test.want)
+		}
+	}
+}
