--- a/internal/scaling/order.go
+++ b/internal/scaling/order.go
@@ -1,5 +1,3 @@
-// Package scaling decides how many replicas of each service are needed, where, and of
-// which kind, and orders them.
 package scaling
 
 import (
