platform: decode scaling entries and spot replicas

Cause: the operator's limits on replicas, and the kind and the announced end of a replica, were ignored. Change: services[].scaling becomes routes.Service.Scaling; an entry that can't be met is left out and logged, the rest of the configuration stays in force. Entries of replicas give fleet.Replica.Spot and, while draining, LeavesAt. routes.Table.JobService tells at which service a job runs whose spec a host doesn't know.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,10 @@
 	Slots int
 	// Draining replicas take no new requests.
 	Draining bool
+	// Spot replicas may be reclaimed, all of a failure domain at once.
+	Spot bool
+	// LeavesAt is when a replica that is being reclaimed ends; zero if it isn't.
+	LeavesAt time.Time
 	// Models holds the version of the loaded weights of each model.
 	Models map[string]uint64
 	// Estimate is set by Reserve: the load by which the replica was chosen.
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -98,6 +98,8 @@
 	Slots int
 	// Models are the names of the models that the engines of the service serve.
 	Models []string
+	// Scaling says how many replicas may be ordered; nil if none are.
+	Scaling *Scaling
 }
 
 // Limits are the limits on callers' requests and connections.
@@ -113,6 +115,8 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
+	// Problems describes the parts of the configuration that are invalid and were left out.
+	Problems []string
 	// byHost holds the routes by host name, those with the longest prefix first.
 	byHost map[string][]Route
 }
@@ -145,6 +149,32 @@
 	return nil
 }
 
+// JobService returns the service whose engines run a job that is known only by its id and
+// model, or "" if there is none. If several routes accept jobs of the model, the first one
+// by name counts.
+func (t *Table) JobService(id, model string) string {
+	var found *Route
+	for _, routes := range t.byHost {
+		for i := range routes {
+			route := &routes[i]
+			if route.Kind == Rollouts && (found == nil || route.Name < found.Name) && t.serves(route.ServiceFor(id), model) {
+				found = route
+			}
+		}
+	}
+	if found == nil {
+		return ""
+	}
+	return found.ServiceFor(id)
+}
+
+// serves reports whether a service serves a model. A job without a model may run at any
+// service.
+func (t *Table) serves(service, model string) bool {
+	s, known := t.Services[service]
+	return known && (model == "" || slices.Contains(s.Models, model))
+}
+
 // OnPolicy reports whether any route is on-policy.
 func (t *Table) OnPolicy() bool {
 	for _, routes := range t.byHost {
