--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,6 +138,8 @@
 	members map[string]*member
 	// demand is this host's demand, by service.
 	demand map[string]*demandMeter
+	// requests is the number of this host's requests in flight, by service.
+	requests map[string]int
 	// left holds the incarnations that were marked as leaving, by ID.
 	left map[string]leavingMark
 	// changed is the channel of Changed; notify closes and replaces it.
@@ -152,7 +154,7 @@
 
 // New returns an empty fleet.
 func New(log logr.Logger) *Fleet {
-	return &Fleet{log: log, members: map[string]*member{}, demand: map[string]*demandMeter{}, left: map[string]leavingMark{}, changed: make(chan struct{})}
+	return &Fleet{log: log, members: map[string]*member{}, demand: map[string]*demandMeter{}, requests: map[string]int{}, left: map[string]leavingMark{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed when a slot may have become free, or a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,6 +127,8 @@
 		Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), avoid: map[string]bool{},
 		results: make(chan attemptResult, max(1, call.Route.MaxAttempts)+1), attemptLog: attemptLog{began: began},
 	}
+	g.fleet.BeginRequest(f.service)
+	defer g.fleet.EndRequest(f.service)
 	answer, err := f.run(ctx)
 	if err != nil {
 		e := failure.As(err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -146,3 +146,29 @@
 		}
 	})
 }
+
+// Guards against a demand without the requests that wait for a replica: too few replicas
+// would then look like enough.
+func TestWaitingRequestsCountAsDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet.New(logr.Discard())
+		f.Put(fleet.Replica{ID: "r", Service: "s", Address: "10.0.0.1:1", Draining: true})
+		g := New(f, &fakeReplicas{}, noGuard{}, "", nil, logr.Discard())
+		route := &routes.Route{Kind: routes.Idempotent, LatencyObjective: time.Second, MaxAttempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		ended := make(chan error)
+		go func() {
+			_, err := g.Handle(context.Background(), Call{Route: route, Request: new(fasthttp.Request), Deadline: time.Now().Add(time.Second)}, new(fasthttp.Response))
+			ended <- err
+		}()
+		time.Sleep(time.Millisecond)
+		if n := f.Requests()["s"]; n != 1 {
+			t.Errorf("%d requests in flight while one waits", n)
+		}
+		if err := <-ended; err == nil {
+			t.Error("a request without a replica was answered")
+		}
+		if n := f.Requests()["s"]; n != 0 {
+			t.Errorf("%d requests in flight after the end", n)
+		}
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,6 +59,8 @@
 // Sink.Begin, the caller must be able to see that the stream is incomplete.
 func (g *Gateway) Stream(ctx context.Context, streamer Streamer, call Call, after int, sink Sink, resp *fasthttp.Response) error {
 	s := &streamCall{Gateway: g, call: call, service: call.Route.ServiceFor(call.ID), sink: sink, after: after, avoid: map[string]bool{}, attemptLog: attemptLog{began: time.Now()}}
+	g.fleet.BeginRequest(s.service)
+	defer g.fleet.EndRequest(s.service)
 	giveUp := time.Now().Add(slotTimeout(call.Route))
 	for {
 		target, err := s.reserve()
--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -31,8 +31,9 @@
 	rows   platform.RowStore
 	roster *Roster
 	log    logr.Logger
-	// demand may be nil.
-	demand func() map[string]float64
+	// demand and requests may be nil.
+	demand   func() map[string]float64
+	requests func() map[string]int
 
 	// writing is held while the row is written.
 	writing sync.Mutex
@@ -54,6 +55,9 @@
 // SetDemand sets the function that returns Host.Demand. Call it before Run.
 func (h *Heartbeat) SetDemand(demand func() map[string]float64) { h.demand = demand }
 
+// SetRequests sets the function that returns Host.Requests. Call it before Run.
+func (h *Heartbeat) SetRequests(requests func() map[string]int) { h.requests = requests }
+
 // Self returns this host as in its last heartbeat.
 func (h *Heartbeat) Self() Host {
 	h.mu.Lock()
@@ -114,6 +118,9 @@
 	if h.demand != nil {
 		h.self.Demand = h.demand()
 	}
+	if h.requests != nil {
+		h.self.Requests = h.requests()
+	}
 	// The row announces a longer interval before it applies.
 	h.self.IntervalFactor = 0
 	if factor > 1 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -82,6 +82,9 @@
 	// Demand is the host's demand for services whose replicas name limits, in requests
 	// per second.
 	Demand map[string]float64 `json:"demand,omitempty"`
+	// Requests is the number of the host's requests in flight, by service, for services
+	// whose replicas are ordered.
+	Requests map[string]int `json:"requests,omitempty"`
 }
 
 // scaled returns a time, which is given for the usual heartbeat interval, scaled to
@@ -248,6 +251,22 @@
 	return hosts
 }
 
+// Requests returns the number of requests in flight at all live hosts, by service.
+func (r *Roster) Requests() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := map[string]int{}
+	for id, e := range r.entries {
+		if r.dead[id] {
+			continue
+		}
+		for service, n := range e.host.Requests {
+			sum[service] += max(0, n)
+		}
+	}
+	return sum
+}
+
 // Demand returns the demand of each live host for a service; zero for those that announce
 // none.
 func (r *Roster) Demand(service string) map[string]float64 {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -248,3 +248,27 @@
 		t.Errorf("100 hosts write %.0f and look %.0f times a second, 250 hosts %.0f and %.0f", writes, looks, manyWrites, manyLooks)
 	}
 }
+
+// Guards against a demand that counts only this host's requests, or those of dead hosts.
+func TestRequestsOfAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		nodes := make([]*node, 3)
+		for i := range nodes {
+			nodes[i] = start(rows, fmt.Sprintf("host-%d", i), "one")
+		}
+		for i, n := range nodes {
+			n.heartbeat.SetRequests(func() map[string]int { return map[string]int{"s": i + 1, "t": 1} })
+		}
+		time.Sleep(2 * time.Second)
+		if got := nodes[0].roster.Requests(); got["s"] != 6 || got["t"] != 3 {
+			t.Errorf("requests of all hosts are %v", got)
+		}
+		nodes[2].stop()
+		time.Sleep(3 * time.Second)
+		if got := nodes[0].roster.Requests(); got["s"] != 3 {
+			t.Errorf("requests after the loss of a host are %v", got)
+		}
+		stopAll(nodes[:2])
+	})
+}
--- a/internal/scaling/allocation.go
+++ b/internal/scaling/allocation.go
@@ -14,15 +14,17 @@
 	counts  map[Pool]int
 	// closed holds the pools that get no more replicas.
 	closed map[Pool]bool
+	// ordered holds the numbers that orders have set, or may set late.
+	ordered map[Pool]int
 }
 
 func newAllocation(limits *routes.Scaling) *allocation {
-	return &allocation{limits: limits, domains: limits.Domains(), counts: map[Pool]int{}, closed: map[Pool]bool{}}
+	return &allocation{limits: limits, domains: limits.Domains(), counts: map[Pool]int{}, closed: map[Pool]bool{}, ordered: map[Pool]int{}}
 }
 
 // clone returns a copy with the same closed pools.
 func (a *allocation) clone() *allocation {
-	c := &allocation{limits: a.limits, domains: a.domains, counts: make(map[Pool]int, len(a.counts)), closed: a.closed}
+	c := &allocation{limits: a.limits, domains: a.domains, counts: make(map[Pool]int, len(a.counts)), closed: a.closed, ordered: a.ordered}
 	for pool, n := range a.counts {
 		c.counts[pool] = n
 	}
@@ -93,9 +95,16 @@
 	return a.regular() >= need && a.afterLoss() >= need
 }
 
+// room returns how many more replicas a pool may get. Max applies to both kinds together,
+// also if replicas of the other kind don't run yet, or a late order raises their number.
+func (a *allocation) room(p Pool) int {
+	other := Pool{Domain: p.Domain, Spot: !p.Spot}
+	return a.limits.Max - a.counts[p] - max(a.counts[other], a.ordered[other])
+}
+
 // isOpen reports whether a pool may get one more replica.
 func (a *allocation) isOpen(p Pool) bool {
-	return !a.closed[p] && (!p.Spot || a.limits.HasSpot()) && a.in(p.Domain) < a.limits.Max
+	return !a.closed[p] && (!p.Spot || a.limits.HasSpot()) && a.room(p) > 0
 }
 
 // smallest returns the open failure domain of a kind for which size is least. Of equal ones
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -43,6 +43,8 @@
 	// sendingTime is the time after which an order that was given out counts as not sent.
 	// It exceeds the time limit of a call.
 	sendingTime = 2 * time.Second
+	// maxLateness is how long after its call an order without an answer may be executed.
+	maxLateness = 30 * time.Second
 	// maxObservationGap is the longest gap between two observations over which a low demand
 	// counts as observed.
 	maxObservationGap = 5 * time.Second
@@ -53,6 +55,9 @@
 	// minSaving is the least saving, as a fraction of the cost, for which regular replicas are
 	// exchanged for spot ones.
 	minSaving = 0.05
+	// maxExchangeWait is the longest wait before such an exchange, or the opposite one, is tried
+	// again after refusals.
+	maxExchangeWait = 10 * time.Minute
 )
 
 // Count is what discovery shows of a pool.
@@ -102,6 +107,8 @@
 	NeedLess Reason = "need_less"
 	// Cheaper orders raise the number of spot replicas so that regular ones can go.
 	Cheaper Reason = "cheaper"
+	// MakeRoom orders lower the number of spot replicas so that regular ones can be ordered.
+	MakeRoom Reason = "make_room"
 	// NoAnswer orders repeat one that got no answer.
 	NoAnswer Reason = "no_answer"
 	// Different orders repeat one because another number of replicas runs.
@@ -164,8 +171,9 @@
 
 // pools returns the pools of a service, sorted.
 func pools(limits *routes.Scaling) []Pool {
-	var all []Pool
-	for _, domain := range limits.Domains() {
+	domains := limits.Domains()
+	all := make([]Pool, 0, 2*len(domains))
+	for _, domain := range domains {
 		all = append(all, Pool{Domain: domain}, Pool{Domain: domain, Spot: true})
 	}
 	return all
@@ -184,6 +192,9 @@
 		switch {
 		case p.leaving(pool, count, now) > 0:
 			reclaimed += max(0, p.Target-count.Ready)
+			if p.Pending {
+				p.expectLate(p.Target, now)
+			}
 			p.Target, p.Confirmed, p.Pending, p.Reclaimed = count.Ready, count.Ready, false, true
 			p.BlockedUntil = max(p.BlockedUntil, now+max(unavailableWait, count.LeavesIn))
 		case count.Ready > p.Target && (p.OrderedAt == 0 || p.Reclaimed):
@@ -219,21 +230,32 @@
 // blocked reports whether no more replicas of the pool may be ordered yet.
 func (p *PoolState) blocked(now time.Duration) bool { return now < p.BlockedUntil }
 
-// current returns the replicas that can be counted on: those that were ordered, and of a
-// blocked pool those that run. Spot replicas of a failure domain are reclaimed together, so
+// missing reports whether replicas of the pool still don't run after their order was
+// repeated.
+func (p *PoolState) missing(count Count) bool { return p.Repeats > 0 && count.Ready < p.Target }
+
+// current returns the replicas that can be counted on: those that were ordered, and those
+// that run where no more can be had for now or replicas are missing for long. Spot replicas of a failure domain are reclaimed together, so
 // none of them counts once some leave.
 func (s *State) current(now time.Duration, limits *routes.Scaling, seen Observation) *allocation {
 	a := newAllocation(limits)
 	for _, pool := range pools(limits) {
 		p, count := s.pool(pool), seen.Pools[pool]
 		a.counts[pool] = p.Target
-		if p.blocked(now) {
+		if p.blocked(now) || p.missing(count) {
 			a.counts[pool] = min(p.Target, count.Ready)
 		}
 		if p.leaving(pool, count, now) > 0 {
 			a.counts[pool] = 0
 		}
-		a.closed[pool] = p.blocked(now) || p.Pending
+		a.ordered[pool] = p.Target
+		if p.Pending {
+			a.ordered[pool] = max(a.ordered[pool], p.Confirmed)
+		}
+		if now < p.LateUntil {
+			a.ordered[pool] = max(a.ordered[pool], p.LateTarget)
+		}
+		a.closed[pool] = p.blocked(now) || p.Pending || p.missing(count)
 	}
 	return a
 }
@@ -261,10 +283,6 @@
 		if surplus > 0 && p.RaisedAt > 0 && now-p.RaisedAt < minKeep {
 			d.ReturnedEarly += surplus
 		}
-		if surplus < 0 {
-			// What does not come back is replaced elsewhere if it is needed.
-			p.BlockedUntil = now + unavailableWait
-		}
 		p.Repeats++
 		d.Orders = append(d.Orders, s.give(now, pool, p.Target, Different))
 	}
@@ -320,16 +338,22 @@
 // lower orders fewer replicas in one pool if a lower need has held long enough, and the
 // rest serves that need and the present demand.
 func (s *State) lower(now time.Duration, limits *routes.Scaling, seen Observation, d *Decision) {
-	held := peakWindow + s.hold()
-	if seen.Slots <= 0 || now-s.ObservedSince < held || s.LoweredAt > 0 && now-s.LoweredAt < lowerInterval || s.unsettled(now, limits, seen) {
+	if seen.Slots <= 0 || s.LoweredAt > 0 && now-s.LoweredAt < lowerInterval || s.unsettled(now, limits, seen) {
 		return
 	}
-	need := withHeadroom(seen.replicasFor(s.peakSince(now - held)))
 	current := s.current(now, limits, seen)
 	for pool := range current.counts {
 		// What is missing for long can't replace what is given back.
 		current.counts[pool] = min(current.counts[pool], seen.Pools[pool].Ready)
 	}
+	if s.makeRoom(now, current, d) {
+		return
+	}
+	held := peakWindow + s.hold()
+	if now-s.ObservedSince < held {
+		return
+	}
+	need := withHeadroom(seen.replicasFor(s.peakSince(now - held)))
 	final := newAllocation(limits)
 	final.grow(need)
 	pool, replicas, ok := s.decrease(now, current, final, need)
@@ -386,6 +410,27 @@
 	return best, replicas, ok
 }
 
+// makeRoom orders fewer spot replicas in one failure domain at Max if regular ones are needed
+// there: spot replicas may have been ordered while no regular ones were available. What is
+// left must serve the need meanwhile. It returns false if there is nothing to do.
+func (s *State) makeRoom(now time.Duration, current *allocation, d *Decision) bool {
+	fewer := min(d.Need-current.regular(), current.total()-d.Need)
+	if fewer <= 0 {
+		return false
+	}
+	for _, domain := range current.domains {
+		regular, spot := Pool{Domain: domain}, Pool{Domain: domain, Spot: true}
+		r, p := s.pool(regular), s.pool(spot)
+		if current.closed[regular] || current.room(regular) > 0 || current.counts[spot] == 0 || p.RaisedAt > 0 && now-p.RaisedAt < minKeep ||
+			r.Refusals > 0 && now-r.BlockedUntil < wait(minKeep, r.Refusals-1, maxExchangeWait) {
+			continue
+		}
+		d.Orders = append(d.Orders, s.give(now, spot, current.counts[spot]-min(fewer, current.counts[spot]), MakeRoom))
+		return true
+	}
+	return false
+}
+
 // exchange orders spot replicas of one failure domain if regular ones can go afterwards and
 // that saves enough.
 func (s *State) exchange(now time.Duration, current, final *allocation, d *Decision) {
@@ -394,8 +439,8 @@
 	}
 	for _, pool := range pools(current.limits) {
 		p := s.pool(pool)
-		more := min(final.counts[pool]-p.Target, current.limits.Max-current.in(pool.Domain))
-		if !pool.Spot || more <= 0 || p.RaisedAt > 0 && now-p.RaisedAt < minKeep {
+		more := min(final.counts[pool]-p.Target, current.room(pool))
+		if !pool.Spot || more <= 0 || p.RaisedAt > 0 && now-p.RaisedAt < wait(minKeep, p.Refusals, maxExchangeWait) {
 			continue
 		}
 		d.Orders = append(d.Orders, s.give(now, pool, p.Target+more, Cheaper))
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // count returns the number of orders for a reason.
@@ -339,3 +341,79 @@
 		t.Errorf("the state of a service has %d bytes, %v", len(value), err)
 	}
 }
+
+// Guards against a failure domain that is lost for good: what does not come back is ordered
+// in the others, and no order takes away what is left.
+func TestLostFailureDomainIsReplaced(t *testing.T) {
+	p := newReplay(t, 13, 13, 12)
+	load := p.training(seed(4))
+	p.run(2*time.Minute, load)
+	for _, pool := range p.allPools() {
+		if pool.Domain == "c" {
+			p.running[pool] = 0
+			p.unavailable[pool] = true
+		}
+	}
+	late := p.late
+	p.run(time.Minute, load)
+	if p.late > late {
+		t.Errorf("%d rollouts are late after the loss of a failure domain", p.late-late)
+	}
+	if n := p.ready(); n < 2*p.limits.Max {
+		t.Errorf("%d replicas run in the other two failure domains, want %d", n, 2*p.limits.Max)
+	}
+	if n := p.count(NeedLess); n > 0 {
+		t.Errorf("%d decreases", n)
+	}
+}
+
+// Guards against orders that break the operator's limits, that take away what the present
+// demand needs, or that never end, whatever the control API does.
+func TestOrdersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		p := newReplay(t, rapid.IntRange(0, 26).Draw(r, "a"), rapid.IntRange(0, 26).Draw(r, "b"), rapid.IntRange(0, 26).Draw(r, "c"))
+		p.fail = r.Errorf
+		demand := 0
+		load := func(time.Duration) {
+			for p.demand() < demand {
+				p.queue = append(p.queue, workItem{took: planStep, due: p.now + time.Hour})
+			}
+		}
+		random := seed(rapid.Uint64().Draw(r, "seed"))
+		p.handle = func(PlannedOrder) (time.Duration, bool) {
+			if random.IntN(5) == 0 {
+				// A call ends without an answer after a second.
+				return time.Second + time.Duration(random.IntN(20))*time.Second, false
+			}
+			return callTime, true
+		}
+		for range rapid.IntRange(1, 12).Draw(r, "phases") {
+			demand = rapid.IntRange(0, 500).Draw(r, "demand")
+			switch rapid.IntRange(0, 4).Draw(r, "event") {
+			case 0:
+				p.reclaim(rapid.SampledFrom(p.limits.Domains()).Draw(r, "reclaimed"), 2*time.Second)
+			case 1:
+				p.unavailable[rapid.SampledFrom(p.allPools()).Draw(r, "unavailable")] = true
+			case 2:
+				clear(p.unavailable)
+			case 3:
+				p.takeOver(p.stored())
+			}
+			p.run(time.Duration(rapid.IntRange(1, 90).Draw(r, "seconds"))*time.Second, load)
+		}
+		// Without further faults the orders end.
+		clear(p.unavailable)
+		p.handle = nil
+		demand = rapid.IntRange(0, 300).Draw(r, "last demand")
+		p.run(8*time.Minute, load)
+		orders := len(p.orders)
+		p.run(time.Minute, load)
+		if n := len(p.orders) - orders; n > 2 {
+			r.Errorf("%d orders in a minute without a change: %+v", n, p.orders[orders:])
+		}
+		need := p.observation().replicasFor(p.state.peakSince(p.now - peakWindow))
+		if p.kind(false) < min(need, 3*p.limits.Max) || p.kind(false) > 3*p.limits.Min+need+need {
+			r.Errorf("%d regular replicas for a need of %d", p.kind(false), need)
+		}
+	})
+}
--- a/internal/scaling/replay_test.go
+++ b/internal/scaling/replay_test.go
@@ -30,7 +30,9 @@
 // replayPlatform simulates the platform of one service: replicas that boot, drain and are
 // reclaimed, and a control API. It does not check fencing tokens.
 type replayPlatform struct {
-	t      *testing.T
+	t *testing.T
+	// fail reports a violation.
+	fail   func(format string, args ...any)
 	limits *routes.Scaling
 	now    time.Duration
 	state  *State
@@ -66,7 +68,7 @@
 
 func newReplay(t *testing.T, regular ...int) *replayPlatform {
 	p := &replayPlatform{
-		t: t, now: clockStart, state: &State{}, limits: testLimits(),
+		t: t, fail: t.Errorf, now: clockStart, state: &State{}, limits: testLimits(),
 		running: map[Pool]int{}, desired: map[Pool]int{}, booting: map[Pool][]time.Duration{}, leaving: map[Pool][]time.Duration{}, unavailable: map[Pool]bool{},
 	}
 	for i, domain := range p.limits.Domains() {
@@ -133,7 +135,7 @@
 	other := o.Pool
 	other.Spot = !o.Spot
 	if both := o.Replicas + p.desired[other]; both > p.limits.Max && o.Replicas > o.Before {
-		p.t.Errorf("%s: %d replicas of both kinds are ordered in %s, at most %d are allowed", p.now-clockStart, both, o.Domain, p.limits.Max)
+		p.fail("%s: %d replicas of both kinds are ordered in %s, at most %d are allowed", p.now-clockStart, both, o.Domain, p.limits.Max)
 	}
 	return true
 }
@@ -186,7 +188,7 @@
 	for _, o := range d.Orders {
 		p.orders = append(p.orders, o)
 		if o.Reason == NeedLess && before-(o.Before-o.Replicas) < present.replicasFor(present.Demand) {
-			p.t.Errorf("%s: the decrease %v leaves less than the present demand of %d needs", p.now-clockStart, o, present.Demand)
+			p.fail("%s: the decrease %v leaves less than the present demand of %d needs", p.now-clockStart, o, present.Demand)
 		}
 		if testing.Verbose() {
 			p.t.Logf("%s %s %d -> %d %s demand=%d need=%d", p.now-clockStart, o.Pool, o.Before, o.Replicas, o.Reason, present.Demand, d.Need)
--- a/internal/scaling/state.go
+++ b/internal/scaling/state.go
@@ -44,6 +44,10 @@
 	Pending  bool          `json:"pending,omitempty"`
 	RetryAt  time.Duration `json:"retry_at,omitempty"`
 	Attempts int           `json:"attempts,omitempty"`
+	// LateTarget is the highest number that an order without an answer may still set until
+	// LateUntil, after newer orders.
+	LateTarget int           `json:"late_target,omitempty"`
+	LateUntil  time.Duration `json:"late_until,omitempty"`
 	// OrderedAt is the time of the last order; zero before the first.
 	OrderedAt time.Duration `json:"ordered_at,omitempty"`
 	// RaisedAt and LoweredAt are the times of the last order of more and of fewer replicas,
@@ -123,7 +127,7 @@
 		*at = min(*at, now)
 	}
 	for _, p := range s.Pools {
-		for _, at := range []*time.Duration{&p.SeenAt, &p.RetryAt, &p.OrderedAt, &p.RaisedAt, &p.LoweredAt, &p.BlockedUntil, &p.DifferentSince} {
+		for _, at := range []*time.Duration{&p.SeenAt, &p.RetryAt, &p.OrderedAt, &p.RaisedAt, &p.LoweredAt, &p.BlockedUntil, &p.DifferentSince, &p.LateUntil} {
 			*at = min(*at, now)
 		}
 	}
@@ -160,6 +164,7 @@
 	for _, p := range s.Pools {
 		if p.Pending {
 			p.RetryAt = 0
+			p.expectLate(p.Target, p.OrderedAt)
 		}
 	}
 }
@@ -179,6 +184,14 @@
 	Unanswered
 )
 
+// expectLate records that an order that was sent at a time may be executed later.
+func (p *PoolState) expectLate(replicas int, now time.Duration) {
+	if now >= p.LateUntil {
+		p.LateTarget = 0
+	}
+	p.LateTarget, p.LateUntil = max(p.LateTarget, replicas), max(p.LateUntil, now+maxLateness)
+}
+
 // Record records how an order ended. An order that is not the last one of its pool is
 // ignored.
 func (s *State) Record(order PlannedOrder, outcome Outcome, now time.Duration) {
@@ -194,6 +207,9 @@
 		p.BlockedUntil = now + wait(unavailableWait, p.Refusals, maxUnavailableWait)
 		p.Refusals++
 	case NotExecuted, Unanswered:
+		if outcome == Unanswered {
+			p.expectLate(order.Replicas, now)
+		}
 		p.RetryAt = now + wait(retryWait, p.Attempts, maxRetryWait)
 		p.Attempts++
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -14,7 +14,7 @@
 )
 
 // Recorder records the metrics of one host. On a nil Recorder, QueueWait, FirstByte,
-// AttemptPhase, ControlCall and Event do nothing: components that call them may run without metrics.
+// AttemptPhase, ControlCall, Add and Event do nothing: components that call them may run without metrics.
 type Recorder struct{ set *metrics.Set }
 
 // New returns a Recorder without metrics.
@@ -116,6 +116,14 @@
 	r.set.GetOrCreateHistogram(`sapphirehatch_attempt_seconds{phase="` + phase + `"}`).Update(took.Seconds())
 }
 
+// Add adds n to a counter. name must be one of a fixed set.
+func (r *Recorder) Add(name string, n int) {
+	if r == nil || n <= 0 {
+		return
+	}
+	r.set.GetOrCreateCounter(name).Add(n)
+}
+
 // Event counts an event, such as "job_accepted". name must be one of a fixed set. Quotes in it are removed, because
 // they would end the label value.
 func (r *Recorder) Event(name string) {
