--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -31,9 +31,10 @@
 	rows   platform.RowStore
 	roster *Roster
 	log    logr.Logger
-	// demand and requests may be nil.
-	demand   func() map[string]float64
-	requests func() map[string]int
+	// demand, requests and timeOfDay may be nil.
+	demand    func() map[string]float64
+	requests  func() map[string]int
+	timeOfDay func() time.Time
 
 	// writing is held while the row is written.
 	writing sync.Mutex
@@ -58,6 +59,19 @@
 // SetRequests sets the function that returns Host.Requests. Call it before Run.
 func (h *Heartbeat) SetRequests(requests func() map[string]int) { h.requests = requests }
 
+// AnnounceClock makes the heartbeats announce Host.ClockOffset. now returns the time of
+// day, usually time.Now. Call it before Run.
+func (h *Heartbeat) AnnounceClock(now func() time.Time) { h.timeOfDay = now }
+
+// clockOffset returns Host.ClockOffset; zero if it is not announced or not known yet.
+func (h *Heartbeat) clockOffset() int64 {
+	storeClock, asked := h.roster.StoreClock()
+	if h.timeOfDay == nil || asked.IsZero() {
+		return 0
+	}
+	return h.timeOfDay().UnixMilli() - (storeClock + time.Since(asked)).Milliseconds()
+}
+
 // Self returns this host as in its last heartbeat.
 func (h *Heartbeat) Self() Host {
 	h.mu.Lock()
@@ -112,9 +126,10 @@
 	defer h.writing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	factor := h.roster.IntervalFactor()
+	factor, offset := h.roster.IntervalFactor(), h.clockOffset()
 	h.mu.Lock()
 	h.self.Sequence++
+	h.self.ClockOffset = offset
 	if h.demand != nil {
 		h.self.Demand = h.demand()
 	}
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -241,10 +241,10 @@
 	c.changed = true
 	decision := state.Plan(in.now, limits, seen)
 	if decision.Reclaimed > 0 {
-		c.Events.Add("sapphirehatch_replicas_reclaimed_total", decision.Reclaimed)
+		c.Events.EventN("replicas_reclaimed", int64(decision.Reclaimed))
 		c.Log.Info("spot replicas are reclaimed", "service", service.Name, "replicas", decision.Reclaimed, "replicas_age", in.replicasAge.Round(time.Millisecond))
 	}
-	c.Events.Add("sapphirehatch_replicas_returned_early_total", decision.ReturnedEarly)
+	c.Events.EventN("replicas_returned_early", int64(decision.ReturnedEarly))
 	calls := make([]*call, 0, len(decision.Orders))
 	for _, order := range decision.Orders {
 		calls = append(calls, &call{service: service.Name, state: state, order: order, clock: in.now, began: time.Now(), fields: []any{
@@ -388,9 +388,9 @@
 	more := max(0, call.order.Replicas-call.order.Before)
 	switch outcome {
 	case Accepted:
-		c.Events.Add("sapphirehatch_replicas_ordered_total", more)
+		c.Events.EventN("replicas_ordered", int64(more))
 	case NoneAvailable:
-		c.Events.Add("sapphirehatch_replicas_refused_total", more)
+		c.Events.EventN("replicas_refused", int64(more))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
