scaling: yield the lease if the control API doesn't answer this host

Cause: a holder whose own link to the control API is cut kept the lease, and no host ordered replicas. Change: after 5 s without an answer to any order the holder yields the lease for 15 s (rowlease.Elector.Yield); another host takes over with the stored orders. A renewal that ends after Yield does not make it the holder again. Measured: internal/rowlease and internal/scaling pass; without the check in Elector.write the new test of the elector fails.

--- a/internal/rowlease/elector.go
+++ b/internal/rowlease/elector.go
@@ -103,6 +103,8 @@
 	until pause.Deadline
 	// resigned is true after Resign.
 	resigned bool
+	// yieldsUntil is the end of the time for which this host does not compete; see Yield.
+	yieldsUntil pause.Deadline
 }
 
 // NewElector returns an Elector of the lease with a name, for one incarnation of a
@@ -175,6 +177,20 @@
 	}
 }
 
+// Yield ends acting under a fencing token and does not compete for the lease for a time, so
+// that a host takes over that can reach what the holder has to call.
+func (e *Elector) Yield(fence uint64, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held && e.row.Fence == fence {
+		e.held, e.yieldsUntil = false, pause.DeadlineAfter(d)
+		e.log.Info("lease yielded", "fence", fence, "for", d)
+	}
+}
+
+// yields reports whether this host does not compete after Yield. The caller holds mu.
+func (e *Elector) yields() bool { return !e.yieldsUntil.IsZero() && !e.yieldsUntil.Passed() }
+
 // Resign ends acting and renewing for good. The lease expires after its term.
 func (e *Elector) Resign() {
 	e.mu.Lock()
@@ -214,7 +230,7 @@
 func (e *Elector) canTakeOver() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.caughtUp || e.changed {
+	if !e.caughtUp || e.changed || e.yields() {
 		return false
 	}
 	if e.version == 0 || e.row.Holder == e.host {
@@ -268,9 +284,10 @@
 	if result.Version < e.version {
 		return false
 	}
-	e.row, e.version, e.held, e.changed = next, result.Version, true, true
-	e.until = until
-	return true
+	e.row, e.version, e.changed = next, result.Version, true
+	// A renewal may end after Yield was called.
+	e.held, e.until = !e.yields(), until
+	return e.held
 }
 
 // handleWriteError logs a failed write. After a conflict it reads the row again
--- a/internal/rowlease/elector_test.go
+++ b/internal/rowlease/elector_test.go
@@ -230,3 +230,51 @@
 		}
 	})
 }
+
+// Guards against a holder that takes the lease it yielded again at once, and against a
+// lease that nobody holds when there is no other host.
+func TestYieldedLeaseIsTakenByAnotherHost(t *testing.T) {
+	for _, others := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			rows := platformtest.NewRows()
+			first := rowleasetest.Start(rows, rowlease.Scaling, "0", "one")
+			defer first.Stop()
+			time.Sleep(2 * time.Second)
+			var second *rowleasetest.Candidate
+			if others {
+				second = rowleasetest.Start(rows, rowlease.Scaling, "1", "one")
+				defer second.Stop()
+				time.Sleep(time.Second)
+			}
+			fence, _, held := first.Elector.Held()
+			if !held {
+				t.Fatal("the first host does not hold the lease")
+			}
+			first.Elector.Yield(fence+1, 10*time.Second)
+			if _, _, held := first.Elector.Held(); !held {
+				t.Error("the lease was yielded for another token")
+			}
+			// A renewal is on its way meanwhile.
+			first.Rows.SlowWrites(rowlease.Table, 0, 300*time.Millisecond)
+			time.Sleep(700 * time.Millisecond)
+			first.Elector.Yield(fence, 10*time.Second)
+			if _, _, held := first.Elector.Held(); held {
+				t.Error("the host acts after it has yielded the lease")
+			}
+			time.Sleep(9 * time.Second)
+			if _, _, held := first.Elector.Held(); held {
+				t.Error("the host holds the lease again before the time has passed")
+			}
+			if others {
+				if next, _, held := second.Elector.Held(); !held || next <= fence {
+					t.Errorf("the other host holds the lease: %t, under token %d after %d", held, next, fence)
+				}
+				return
+			}
+			time.Sleep(2 * time.Second)
+			if next, _, held := first.Elector.Held(); !held || next <= fence {
+				t.Errorf("the only host holds the lease again: %t, under token %d after %d", held, next, fence)
+			}
+		})
+	}
+}
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -41,6 +41,11 @@
 	// maxOrdersPerPlan bounds the orders of one plan. The control API takes 50 calls per
 	// second from all duties together.
 	maxOrdersPerPlan = 10
+	// maxSilence is how long the control API may give this host no answer to any order before
+	// the host yields the lease for yieldTime: its link to the control API may be cut. The
+	// time covers several attempts and the takeover of another host.
+	maxSilence = 5 * time.Second
+	yieldTime  = 15 * time.Second
 	// maxStateBytes is the largest value of a row.
 	maxStateBytes = 64 << 10
 )
@@ -49,6 +54,8 @@
 type Lease interface {
 	// Grant returns the permission of this host, if it may act now.
 	Grant() (rowlease.Grant, bool)
+	// Yield ends the permission under a fencing token, so that another host takes over.
+	Yield(fence uint64, d time.Duration)
 }
 
 // Config holds the dependencies of a Controller.
@@ -100,6 +107,9 @@
 	// not seen, by service.
 	known   map[string]bool
 	unknown map[string]bool
+	// silentSince is the time of the first order without an answer since the last answer;
+	// zero if there is none.
+	silentSince time.Time
 	// inputsOld is true while the inputs are too old to plan.
 	inputsOld bool
 	wg        sync.WaitGroup
@@ -318,7 +328,7 @@
 			stored = storedState{}
 		}
 	}
-	c.fence, c.states, c.changed = fence, map[string]*State{}, false
+	c.fence, c.states, c.changed, c.silentSince = fence, map[string]*State{}, false, time.Time{}
 	for name, state := range stored.Services {
 		if state != nil && !slices.Contains(slices.Collect(maps.Values(state.Pools)), nil) {
 			state.Resume()
@@ -394,12 +404,29 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observeAnswer(err, call.began, fence)
 	if c.states[call.service] == call.state {
 		call.state.Record(call.order, outcome, call.clock+took)
 		c.changed = true
 	}
 }
 
+// observeAnswer records whether the control API has answered an order that was sent at a
+// time, and yields the lease after maxSilence. The caller holds mu.
+func (c *Controller) observeAnswer(err error, sent time.Time, fence uint64) {
+	switch {
+	case failure.IsKind(err, failure.LeaseLost) || failure.IsKind(err, failure.StaleFencingToken):
+		// Nothing was sent.
+	case err == nil || !failure.IsKind(err, failure.UpstreamUnreachable) && failure.As(err).Outcome == failure.NotRun:
+		c.silentSince = time.Time{}
+	case c.silentSince.IsZero():
+		c.silentSince = sent
+	case time.Since(c.silentSince) > maxSilence:
+		c.silentSince = time.Time{}
+		c.Lease.Yield(fence, yieldTime)
+	}
+}
+
 // outcomeOf returns the outcome of an order and its name in logs.
 func outcomeOf(err error) (Outcome, string) {
 	switch {
--- a/internal/scaling/controller_test.go
+++ b/internal/scaling/controller_test.go
@@ -38,6 +38,14 @@
 	l.fence = fence
 }
 
+func (l *testLease) Yield(fence uint64, _ time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fence == fence {
+		l.fence = 0
+	}
+}
+
 // testOrders records orders, and answers them with err.
 type testOrders struct {
 	mu     sync.Mutex
@@ -288,3 +296,35 @@
 		}
 	})
 }
+
+// Guards against a holder that keeps the lease although only its own link to the control
+// API is cut, and against one that gives it up while the control API answers.
+func TestHolderWithoutAnswersYieldsTheLease(t *testing.T) {
+	unreachable := failure.New(failure.UpstreamUnreachable, failure.NotRun, "no route")
+	for _, test := range []struct {
+		name string
+		err  error
+		held bool
+	}{
+		{"unreachable", unreachable, false},
+		{"silent", failure.New(failure.UpstreamFailed, failure.Unknown, "no reply"), false},
+		{"called too often", failure.New(failure.QuotaExceeded, failure.NotRun, "429"), true},
+		{"none available", failure.New(failure.CapacityUnavailable, failure.NotRun, "409"), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newTestHost(platformtest.NewRows(), threeDomains)
+				h.rollouts = 110
+				h.lease.set(1)
+				h.orders.err = test.err
+				for range int(3 * maxSilence / planInterval) {
+					h.plan(t)
+					time.Sleep(planInterval)
+				}
+				if _, held := h.lease.Grant(); held != test.held {
+					t.Errorf("the lease is held: %t, want %t", held, test.held)
+				}
+			})
+		})
+	}
+}
