--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -36,11 +36,13 @@
 		p := newReplay(t, 13, 13, 12)
 		load := p.training(seed(n))
 		p.run(time.Minute, load)
-		began, orders := p.late, len(p.orders)
+		began, orders, cost := p.late, len(p.orders), p.cost
 		if orders > 25 {
 			t.Errorf("seed %d: %d orders in the first minute, want at most 25", n, orders)
 		}
 		p.run(10*time.Minute, load)
+		t.Logf("seed %d: %d orders in the first minute, %d in the next ten; %.1f per second; %d regular and %d spot replicas, %d after the loss of a failure domain; %d late of %d",
+			n, orders, len(p.orders)-orders, (p.cost-cost)/600, p.kind(false), p.kind(true), p.afterLoss(), p.late, p.done)
 		if late := p.late - began; late > 0 {
 			t.Errorf("seed %d: %d of %d rollouts are late after the first minute", n, late, p.done)
 		}
@@ -80,6 +82,7 @@
 		p.run(5*time.Minute, load)
 		orders := len(p.orders)
 		p.run(30*time.Minute, load)
+		t.Logf("seed %d: %d orders in 35 minutes, %d regular and %d spot replicas", n, len(p.orders), p.kind(false), p.kind(true))
 		if more := len(p.orders) - orders; more > 6 {
 			t.Errorf("seed %d: %d orders in half an hour of a steady load, want at most 6", n, more)
 		}
@@ -137,6 +140,7 @@
 			t.Errorf("anywhere %t: %d rollouts are late", anywhere, p.late-late)
 		}
 		// Six pools, each retried after 5 s and then each 10 s.
+		t.Logf("anywhere %t: %d replicas reclaimed, %d orders in the minute after, %d late", anywhere, lost, len(p.orders)-before, p.late-late)
 		if n := len(p.orders) - before; n > 40 {
 			t.Errorf("anywhere %t: %d orders in a minute without available replicas, want at most 40", anywhere, n)
 		}
@@ -206,6 +210,7 @@
 		if p.returnedEarly > 0 {
 			t.Errorf("period %s: %d replicas were given back within a minute", period, p.returnedEarly)
 		}
+		t.Logf("period %s: %d orders, %d of them decreases, %d replicas given back within a minute", period, len(p.orders), p.count(NeedLess), p.returnedEarly)
 		// The hold outlasts the low level once the first decreases were regretted.
 		if n := p.count(NeedLess); n > 10 {
 			t.Errorf("period %s: %d decreases in half an hour, want at most 10", period, n)
