--- a/internal/scaling/controller_test.go
+++ b/internal/scaling/controller_test.go
@@ -92,9 +92,9 @@
 		{Name: "fixed"},
 	}, routes.Limits{})
 	// Two replicas run in each failure domain, and one more takes no requests.
-	replicas := []fleet.Replica{{ID: "draining", Service: "llm", Domain: "a", Slots: 6, Draining: true}}
-	for i := range 6 {
-		replicas = append(replicas, fleet.Replica{ID: fmt.Sprint(i), Service: "llm", Domain: []string{"a", "b", "c"}[i%3], Slots: 6})
+	replicas := make([]fleet.Replica, 7)
+	for i := range replicas {
+		replicas[i] = fleet.Replica{ID: fmt.Sprint(i), Service: "llm", Domain: []string{"a", "b", "c"}[i%3], Slots: 6, Draining: i == 6}
 	}
 	began := time.Now()
 	asOf := func() time.Time { return time.Now().Add(-h.inputAge) }
