--- a/internal/rowlease/elector.go
+++ b/internal/rowlease/elector.go
@@ -101,6 +101,9 @@
 	// held is true while this process is the holder, and until is when it must stop acting.
 	held  bool
 	until pause.Deadline
+	// abandoned is the highest token under which this process must not act; zero if there
+	// is none.
+	abandoned uint64
 	// resigned is true after Resign.
 	resigned bool
 	// yieldsUntil is the end of the time for which this host does not compete; see Yield.
@@ -156,7 +159,7 @@
 func (e *Elector) Held() (fence uint64, until pause.Deadline, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.row.Fence, e.until, e.held && !e.resigned && !e.until.Passed()
+	return e.row.Fence, e.until, e.isHolder() && !e.resigned && !e.until.Passed()
 }
 
 // Grant returns the permission of this host, if it may act now.
@@ -172,7 +175,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.held && e.row.Fence == fence {
-		e.held = false
+		e.abandoned = fence
 		e.log.Info("lease abandoned", "fence", fence)
 	}
 }
@@ -182,8 +185,8 @@
 func (e *Elector) Yield(fence uint64, d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.held && e.row.Fence == fence {
-		e.held, e.yieldsUntil = false, pause.DeadlineAfter(d)
+	if e.isHolder() && e.row.Fence == fence {
+		e.abandoned, e.yieldsUntil = fence, pause.DeadlineAfter(d)
 		e.log.Info("lease yielded", "fence", fence, "for", d)
 	}
 }
@@ -191,6 +194,10 @@
 // yields reports whether this host does not compete after Yield. The caller holds mu.
 func (e *Elector) yields() bool { return !e.yieldsUntil.IsZero() && !e.yieldsUntil.Passed() }
 
+// isHolder reports whether this process holds the lease under a token that it has not
+// abandoned. The caller holds mu.
+func (e *Elector) isHolder() bool { return e.held && e.row.Fence > e.abandoned }
+
 // Resign ends acting and renewing for good. The lease expires after its term.
 func (e *Elector) Resign() {
 	e.mu.Lock()
@@ -210,7 +217,7 @@
 			return nil
 		}
 		e.mu.Lock()
-		held, resigned := e.held, e.resigned
+		held, resigned := e.isHolder(), e.resigned
 		e.mu.Unlock()
 		switch {
 		case resigned:
@@ -284,10 +291,9 @@
 	if result.Version < e.version {
 		return false
 	}
-	e.row, e.version, e.changed = next, result.Version, true
-	// A renewal may end after Yield was called.
-	e.held, e.until = !e.yields(), until
-	return e.held
+	e.row, e.version, e.held, e.changed = next, result.Version, true, true
+	e.until = until
+	return true
 }
 
 // handleWriteError logs a failed write. After a conflict it reads the row again
