scaling: notice a silent control API between calls; converge faster to spot replicas

Cause: the holder noticed that the control API is silent only when a call ended, up to 7.5 s after the first. The random test found an exchange for spot replicas at max that went on for more than 8 minutes, two replicas a minute. Change: the silence is checked with each plan, while an order waits for an answer. An exchange waits only after refusals.

--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -210,6 +210,9 @@
 	if !ok || c.fence != grant.Fence && !c.load(ctx, grant.Fence) {
 		return
 	}
+	if c.yieldIfSilent(grant.Fence) {
+		return
+	}
 	var calls []*call
 	for _, name := range slices.Sorted(maps.Keys(in.table.Services)) {
 		service := in.table.Services[name]
@@ -404,7 +407,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.observeAnswer(err, call.began, fence)
+	c.observeAnswer(err, call.began)
 	if c.states[call.service] == call.state {
 		call.state.Record(call.order, outcome, call.clock+took)
 		c.changed = true
@@ -412,8 +415,8 @@
 }
 
 // observeAnswer records whether the control API has answered an order that was sent at a
-// time, and yields the lease after maxSilence. The caller holds mu.
-func (c *Controller) observeAnswer(err error, sent time.Time, fence uint64) {
+// time. The caller holds mu.
+func (c *Controller) observeAnswer(err error, sent time.Time) {
 	switch {
 	case failure.IsKind(err, failure.LeaseLost) || failure.IsKind(err, failure.StaleFencingToken):
 		// Nothing was sent.
@@ -421,10 +424,27 @@
 		c.silentSince = time.Time{}
 	case c.silentSince.IsZero():
 		c.silentSince = sent
-	case time.Since(c.silentSince) > maxSilence:
+	}
+}
+
+// yieldIfSilent yields the lease if an order waits for an answer and the control API gave
+// none for maxSilence. The caller holds mu.
+func (c *Controller) yieldIfSilent(fence uint64) bool {
+	pending := false
+	for _, s := range c.states {
+		for _, p := range s.Pools {
+			pending = pending || p.Pending
+		}
+	}
+	if !pending {
 		c.silentSince = time.Time{}
-		c.Lease.Yield(fence, yieldTime)
 	}
+	if c.silentSince.IsZero() || time.Since(c.silentSince) <= maxSilence {
+		return false
+	}
+	c.silentSince = time.Time{}
+	c.Lease.Yield(fence, yieldTime)
+	return true
 }
 
 // outcomeOf returns the outcome of an order and its name in logs.
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -440,7 +440,7 @@
 	for _, pool := range pools(current.limits) {
 		p := s.pool(pool)
 		more := min(final.counts[pool]-p.Target, current.room(pool))
-		if !pool.Spot || more <= 0 || p.RaisedAt > 0 && now-p.RaisedAt < wait(minKeep, p.Refusals, maxExchangeWait) {
+		if !pool.Spot || more <= 0 || p.Refusals > 0 && now-p.RaisedAt < wait(minKeep, p.Refusals, maxExchangeWait) {
 			continue
 		}
 		d.Orders = append(d.Orders, s.give(now, pool, p.Target+more, Cheaper))
