--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,10 @@
 	Slots int
 	// Draining replicas take no new requests.
 	Draining bool
+	// Spot replicas may be reclaimed, all of a failure domain at once.
+	Spot bool
+	// LeavesAt is when a replica that is being reclaimed ends; zero if it isn't.
+	LeavesAt time.Time
 	// Models holds the version of the loaded weights of each model.
 	Models map[string]uint64
 	// Estimate is set by Reserve: the load by which the replica was chosen.
@@ -158,6 +162,8 @@
 	members map[string]*member
 	// demand is this host's demand, by service.
 	demand map[string]*demandMeter
+	// requests is the number of this host's requests in flight, by service.
+	requests map[string]int
 	// left holds the incarnations that were marked as leaving, by ID.
 	left map[string]leavingMark
 	// changed is the channel of Changed; notify closes and replaces it.
@@ -172,7 +178,7 @@
 
 // New returns an empty fleet.
 func New(log logr.Logger) *Fleet {
-	return &Fleet{log: log, members: map[string]*member{}, demand: map[string]*demandMeter{}, left: map[string]leavingMark{}, changed: make(chan struct{})}
+	return &Fleet{log: log, members: map[string]*member{}, demand: map[string]*demandMeter{}, requests: map[string]int{}, left: map[string]leavingMark{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed when a slot may have become free, or a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,8 @@
 		results: make(chan attemptResult, max(1, call.Route.MaxAttempts)+1), attemptLog: attemptLog{began: began},
 		running: map[string]time.Time{},
 	}
+	g.fleet.BeginRequest(f.service)
+	defer g.fleet.EndRequest(f.service)
 	answer, err := f.run(ctx)
 	if err != nil {
 		e := failure.As(err)
--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -31,8 +31,9 @@
 	rows   platform.RowStore
 	roster *Roster
 	log    logr.Logger
-	// demand and timeOfDay may be nil.
+	// demand, requests and timeOfDay may be nil.
 	demand    func() map[string]float64
+	requests  func() map[string]int
 	timeOfDay func() time.Time
 
 	// writing is held while the row is written.
@@ -55,6 +56,9 @@
 // SetDemand sets the function that returns Host.Demand. Call it before Run.
 func (h *Heartbeat) SetDemand(demand func() map[string]float64) { h.demand = demand }
 
+// SetRequests sets the function that returns Host.Requests. Call it before Run.
+func (h *Heartbeat) SetRequests(requests func() map[string]int) { h.requests = requests }
+
 // AnnounceClock makes the heartbeats announce Host.ClockOffset. now returns the time of
 // day, usually time.Now. Call it before Run.
 func (h *Heartbeat) AnnounceClock(now func() time.Time) { h.timeOfDay = now }
@@ -129,6 +133,9 @@
 	if h.demand != nil {
 		h.self.Demand = h.demand()
 	}
+	if h.requests != nil {
+		h.self.Requests = h.requests()
+	}
 	// The row announces a longer interval before it applies.
 	h.self.IntervalFactor = 0
 	if factor > 1 {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -257,6 +257,29 @@
 	}
 }
 
+// Guards against a demand that counts only this host's requests, or those of dead hosts.
+func TestRequestsOfAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := platformtest.NewRows()
+		nodes := make([]*node, 3)
+		for i := range nodes {
+			nodes[i] = newNode(rows, fmt.Sprintf("host-%d", i), "one")
+			nodes[i].heartbeat.SetRequests(func() map[string]int { return map[string]int{"s": i + 1, "t": 1} })
+			nodes[i].run()
+		}
+		time.Sleep(2 * time.Second)
+		if got := nodes[0].roster.Requests(); got["s"] != 6 || got["t"] != 3 {
+			t.Errorf("requests of all hosts are %v", got)
+		}
+		nodes[2].stop()
+		time.Sleep(3 * time.Second)
+		if got := nodes[0].roster.Requests(); got["s"] != 3 {
+			t.Errorf("requests after the loss of a host are %v", got)
+		}
+		stopAll(nodes[:2])
+	})
+}
+
 // A step of one host's time of day moves neither its own true time nor that of others, and
 // hosts without the setting announce nothing.
 func TestTrueTimeIgnoresAStepOfOneClock(t *testing.T) {
--- a/internal/rowlease/elector.go
+++ b/internal/rowlease/elector.go
@@ -106,6 +106,8 @@
 	abandoned uint64
 	// resigned is true after Resign.
 	resigned bool
+	// yieldsUntil is the end of the time for which this host does not compete; see Yield.
+	yieldsUntil pause.Deadline
 }
 
 // NewElector returns an Elector of the lease with a name, for one incarnation of a
@@ -178,6 +180,20 @@
 	}
 }
 
+// Yield ends acting under a fencing token and does not compete for the lease for a time, so
+// that a host takes over that can reach what the holder has to call.
+func (e *Elector) Yield(fence uint64, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isHolder() && e.row.Fence == fence {
+		e.abandoned, e.yieldsUntil = fence, pause.DeadlineAfter(d)
+		e.log.Info("lease yielded", "fence", fence, "for", d)
+	}
+}
+
+// yields reports whether this host does not compete after Yield. The caller holds mu.
+func (e *Elector) yields() bool { return !e.yieldsUntil.IsZero() && !e.yieldsUntil.Passed() }
+
 // isHolder reports whether this process holds the lease under a token that it has not
 // abandoned. The caller holds mu.
 func (e *Elector) isHolder() bool { return e.held && e.row.Fence > e.abandoned }
@@ -221,7 +237,7 @@
 func (e *Elector) canTakeOver() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.caughtUp || e.changed {
+	if !e.caughtUp || e.changed || e.yields() {
 		return false
 	}
 	if e.version == 0 || e.row.Holder == e.host {
