scaling: count what runs against max while a late order is in effect

Cause: 600 plays of the random test found one in which an order executed late left two spot replicas in a failure domain, while regular ones were ordered up to max. Change: the room of a pool counts the larger of what is ordered and what runs. Measured: 600 plays of the random test and the rest of internal/scaling pass (58 s).

--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -248,7 +248,8 @@
 		if p.leaving(pool, count, now) > 0 {
 			a.counts[pool] = 0
 		}
-		a.ordered[pool] = p.Target
+		// More run than were ordered last while a late order is in effect.
+		a.ordered[pool] = max(p.Target, count.Ready)
 		if p.Pending {
 			a.ordered[pool] = max(a.ordered[pool], p.Confirmed)
 		}
