--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -270,10 +270,19 @@
 	return calls
 }
 
+// rolloutsPerSlot is the number of rollouts of open jobs that one slot serves in turn. A step
+// is due several times the duration of a usual rollout after its submission. With a slot for
+// each rollout, 38 engines became 77, whose loads of each new weight version took so much
+// longer that steps ended later.
+const rolloutsPerSlot = 3
+
+// slotsFor returns the number of slots for a number of rollouts.
+func slotsFor(rollouts int) int { return (rollouts + rolloutsPerSlot - 1) / rolloutsPerSlot }
+
 // observe returns what is known of a service, and its limits without the failure domains
 // in which nothing was ever seen: their names are probably mistyped. The caller holds mu.
 func (c *Controller) observe(service routes.Service, in inputs) (*routes.Scaling, Observation) {
-	seen := Observation{Demand: in.rollouts[service.Name] + in.requests[service.Name], Slots: service.Slots, Pools: map[Pool]Count{}}
+	seen := Observation{Demand: slotsFor(in.rollouts[service.Name]) + in.requests[service.Name], Slots: service.Slots, Pools: map[Pool]Count{}}
 	slots, ready := 0, 0
 	for _, r := range c.Replicas(service.Name) {
 		c.known[r.Domain] = true
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -62,7 +62,7 @@
 	minSaving = 0.05
 	// maxExchangeWait is the longest wait before such an exchange, or the opposite one, is tried
 	// again after refusals.
-	maxExchangeWait = 10 * time.Minute
+	maxExchangeWait = 3 * time.Minute
 )
 
 // Count is what discovery shows of a pool.
@@ -266,7 +266,8 @@
 		if p.leaving(pool, count, now) > 0 {
 			a.counts[pool] = 0
 		}
-		a.ordered[pool] = p.Target
+		// More run than were ordered last while a late order is in effect.
+		a.ordered[pool] = max(p.Target, count.Ready)
 		if p.Pending {
 			a.ordered[pool] = max(a.ordered[pool], p.Confirmed)
 		}
