usage: send reports that were never tried before repeats

Cause: the plan sent the oldest report that was not waiting. With a control API that executes calls but answers after the timeout, the repeats of the oldest reports took all the time, and newer windows were never sent. Change: the report with the fewest failures is sent, of several the oldest.

--- a/internal/usage/plan.go
+++ b/internal/usage/plan.go
@@ -37,8 +37,10 @@
 	Settled bool
 	// Incomplete is true if a host is unreachable that may have counts to write.
 	Incomplete bool
-	// Waiting holds the windows whose report failed and is not to be repeated yet.
-	Waiting map[int64]bool
+	// Waiting holds the windows whose report failed and is not to be repeated yet, and
+	// Failures the number of failures of each report that failed.
+	Waiting  map[int64]bool
+	Failures map[int64]int
 }
 
 // Step is what the holder does next.
@@ -54,7 +56,10 @@
 }
 
 // Plan returns the next step. It gives up the windows that ended more than giveUpAfter
-// ago, decides windows in order, and sends the oldest report that is not waiting.
+// ago, decides windows in order, and sends the report with the fewest failures that is not
+// waiting, of several the oldest. A report that was never tried is thus sent before any
+// repeat: a control API that executes calls but answers after the timeout would otherwise get
+// repeats of the same reports only, and newer ones would be late.
 func Plan(state State, s Situation) Step {
 	step := Step{State: State{Next: state.Next}}
 	for _, report := range state.Decided {
@@ -74,9 +79,8 @@
 	}
 	step.Decide = s.Settled && s.Now >= endOf(step.State.Next, s.Length)+delay
 	for _, report := range step.State.Decided {
-		if !s.Waiting[report.Window] {
+		if !s.Waiting[report.Window] && (step.Send == nil || s.Failures[report.Window] < s.Failures[step.Send.Window]) {
 			step.Send = &report
-			break
 		}
 	}
 	return step
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -130,9 +130,10 @@
 	if (!r.loaded || grant.Fence != r.fence) && !r.load(ctx, grant.Fence, now) {
 		return
 	}
+	waiting, failures := r.unaccepted()
 	plan := Plan(r.state, Situation{
 		Now: now, Length: r.Length, Settled: time.Since(r.lostAt) >= r.scaled(settleTime),
-		Incomplete: time.Since(r.unreachableAt) < r.scaled(settleTime), Waiting: r.waiting(),
+		Incomplete: time.Since(r.unreachableAt) < r.scaled(settleTime), Waiting: waiting, Failures: failures,
 	})
 	r.state = plan.State
 	for window := range r.retries {
@@ -158,13 +159,14 @@
 	return time.Duration(float64(usual) * r.Hosts.IntervalFactor())
 }
 
-// waiting returns the windows whose report is not to be repeated yet.
-func (r *Reporter) waiting() map[int64]bool {
-	waiting := map[int64]bool{}
+// unaccepted returns the windows whose report is not to be repeated yet, and the number of
+// failures of each report that failed.
+func (r *Reporter) unaccepted() (waiting map[int64]bool, failures map[int64]int) {
+	waiting, failures = map[int64]bool{}, map[int64]int{}
 	for window, retry := range r.retries {
-		waiting[window] = time.Now().Before(retry.at)
+		waiting[window], failures[window] = time.Now().Before(retry.at), retry.failures
 	}
-	return waiting
+	return waiting, failures
 }
 
 // stateRow returns the id of the state row.
