rowlease: wait for an earlier process of the same host before the duties are taken

The reporter also took its grant before it read and decided, which may take seconds, and sent under that grant. Change: such a row must be unchanged for ActingTime before usage and scaling are taken; weights is taken at once as before. The reporter takes the grant again directly before the send and stops if the token has changed.

--- a/internal/rowlease/elector.go
+++ b/internal/rowlease/elector.go
@@ -214,23 +214,38 @@
 	}
 }
 
-// canTakeOver reports whether the lease is free: there is no row, the row names
-// this host (from an earlier process, or from a write whose reply was lost), or it
-// has not changed for a term plus takeoverMargin and this host's extra wait, on the
-// store clock. The caller has checked that this process does not hold the lease.
+// canTakeOver reports whether the lease is free: there is no row, the row names this
+// process (from a write whose reply was lost, or an abandoned token), or it has not
+// changed for long enough on the store clock. That is a term plus takeoverMargin and this
+// host's extra wait, or less for a row of an earlier process of this host. The caller has
+// checked that this process does not hold the lease.
 func (e *Elector) canTakeOver() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.caughtUp || e.changed {
 		return false
 	}
-	if e.version == 0 || e.row.Holder == e.host {
+	if e.version == 0 || e.row.Holder == e.host && e.row.Incarnation == e.incarnation {
 		return true
 	}
 	wait := e.term + takeoverMargin + time.Duration(e.ranker.Rank(e.name, e.host))*takeoverDelayPerRank
+	if e.row.Holder == e.host {
+		wait = e.restartWait()
+	}
 	return e.storeClock-e.unchangedSince >= wait
 }
 
+// restartWait returns how long the row of an earlier process of this host must be
+// unchanged before this process takes the lease. The earlier process may still act for
+// ActingTime, and the control API may get its calls after those of this process. Weights is
+// taken at once, as in earlier deployments, so that a restart doesn't delay orders to load.
+func (e *Elector) restartWait() time.Duration {
+	if e.name == Weights {
+		return 0
+	}
+	return ActingTime(e.term)
+}
+
 // renew extends the held lease.
 func (e *Elector) renew(ctx context.Context) {
 	e.mu.Lock()
--- a/internal/rowlease/elector_test.go
+++ b/internal/rowlease/elector_test.go
@@ -189,6 +189,47 @@
 	})
 }
 
+// An earlier process of the same host may still act, for example because it was not ended
+// when the next one was started. The next one must not act meanwhile.
+func TestRestartedHostWaitsForItsEarlierProcess(t *testing.T) {
+	for _, test := range []struct {
+		lease string
+		// from and to are the least and the longest wait. The follower of a Candidate polls
+		// for a second and more, which adds to the wait.
+		from, to time.Duration
+	}{
+		{rowlease.Usage, rowlease.ActingTime(rowleasetest.Term), rowleasetest.Term * 3 / 2},
+		{rowlease.Scaling, rowlease.ActingTime(rowleasetest.Term), rowleasetest.Term * 3 / 2},
+		{rowlease.Weights, 0, time.Second},
+	} {
+		t.Run(test.lease, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := platformtest.NewRows()
+				earlier := rowleasetest.Start(rows, test.lease, "0", "a")
+				time.Sleep(2 * time.Second)
+				if _, _, ok := earlier.Elector.Held(); !ok {
+					t.Fatal("the first process does not hold the lease")
+				}
+				earlier.Rows.SetDown(true)
+				next := rowleasetest.Start(rows, test.lease, "0", "b")
+				began := time.Now()
+				for time.Since(began) < 2*rowleasetest.Term {
+					if _, _, ok := next.Elector.Held(); ok {
+						break
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				_, _, ok := earlier.Elector.Held()
+				if after := time.Since(began); after < test.from || after > test.to || ok && test.from > 0 {
+					t.Errorf("the next process acts after %s, and the earlier one may act: %t", after, ok)
+				}
+				earlier.Stop()
+				next.Stop()
+			})
+		})
+	}
+}
+
 // Each lease has its own row, so a host may hold one and not another.
 func TestLeasesAreIndependent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -149,6 +149,11 @@
 		return
 	}
 	if plan.Send != nil {
+		// The calls to the store may have taken seconds, in which the token may have changed.
+		if grant, held = r.Elector.Grant(); !held || grant.Fence != r.fence {
+			r.loaded = false
+			return
+		}
 		r.send(ctx, grant, *plan.Send)
 	}
 	r.deleteGarbage(ctx)
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -525,6 +525,43 @@
 	})
 }
 
+// tokenCheck is a Sender that checks that a call has the token under which the host may act.
+type tokenCheck struct {
+	*fakeControl
+	t       *testing.T
+	elector *rowlease.Elector
+}
+
+func (c *tokenCheck) ReportUsage(ctx context.Context, grant rowlease.Grant, window int64, counts map[string]uint64) error {
+	if fence, _, ok := c.elector.Held(); !ok || fence != grant.Fence {
+		c.t.Errorf("a call under token %d, the host may act under token %d: %t", grant.Fence, fence, ok)
+	}
+	return c.fakeControl.ReportUsage(ctx, grant, window, counts)
+}
+
+// The token changes while a window is decided. A report that waits must not be sent under
+// the old one.
+func TestTokenChangesDuringADecision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, check := platformtest.NewRows(), &tokenCheck{fakeControl: newControl(), t: t}
+		check.down = true
+		host := startProcess(rows, check, "0", "first")
+		check.elector = host.Elector
+		time.Sleep(15 * time.Second)
+		host.Rows.SlowWrites(StateTable, time.Second, 0)
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			if fence, _, ok := host.Elector.Held(); ok {
+				host.Elector.Abandon(fence)
+			}
+		}
+		if check.seen().calls == 0 {
+			t.Error("no call was made")
+		}
+		host.kill()
+	})
+}
+
 // After an outage of the store the holder waits until the hosts have written what they
 // counted, and no host keeps more than its counts of the last windows meanwhile.
 func TestCountsOfAStoreOutageAreReported(t *testing.T) {
