rowlease: recover from a deleted row of a lease

Cause: after the row of a lease was deleted every write conflicted, the read after the conflict found no row, and the known version stayed. Nobody held the lease again until all processes had ended. Change: if that read finds no row, the version is zero and the token is kept. The lease is free after the usual wait of a term and more, then it is taken with the token plus one. Changes that are older than the read are ignored.

--- a/internal/rowlease/elector.go
+++ b/internal/rowlease/elector.go
@@ -87,9 +87,11 @@
 	log                     logr.Logger
 
 	mu sync.Mutex
-	// row and version are the latest known content of the row.
-	row     leaseRow
-	version uint64
+	// row and version are the latest known content of the row. If it was deleted, version is
+	// zero, row the last content, and absentAt the store's version without the row.
+	row      leaseRow
+	version  uint64
+	absentAt uint64
 	// changed is true if the row changed since the last call of Synced.
 	changed bool
 	// unchangedSince is the time on the store clock since which the row is known to be unchanged.
@@ -121,7 +123,7 @@
 func (e *Elector) Changed(row platform.VersionedRow) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if row.Part != e.name || row.Key != e.name || row.Deleted || row.Version <= e.version {
+	if row.Part != e.name || row.Key != e.name || row.Deleted || row.Version <= max(e.version, e.absentAt) {
 		return
 	}
 	var next leaseRow
@@ -214,22 +216,23 @@
 	}
 }
 
-// canTakeOver reports whether the lease is free: there is no row, the row names this
+// canTakeOver reports whether the lease is free: there was never a row, the row names this
 // process (from a write whose reply was lost, or an abandoned token), or it has not
 // changed for long enough on the store clock. That is a term plus takeoverMargin and this
-// host's extra wait, or less for a row of an earlier process of this host. The caller has
-// checked that this process does not hold the lease.
+// host's extra wait, also after the row was deleted, or less for a row of an earlier process
+// of this host. The caller has checked that this process does not hold the lease.
 func (e *Elector) canTakeOver() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.caughtUp || e.changed {
 		return false
 	}
-	if e.version == 0 || e.row.Holder == e.host && e.row.Incarnation == e.incarnation {
+	deleted := e.absentAt > 0 && e.version == 0
+	if !deleted && (e.version == 0 || e.row.Holder == e.host && e.row.Incarnation == e.incarnation) {
 		return true
 	}
 	wait := e.term + takeoverMargin + time.Duration(e.ranker.Rank(e.name, e.host))*takeoverDelayPerRank
-	if e.row.Holder == e.host {
+	if !deleted && e.row.Holder == e.host {
 		wait = e.restartWait()
 	}
 	return e.storeClock-e.unchangedSince >= wait
@@ -311,4 +314,20 @@
 	for _, row := range page.Rows {
 		e.Changed(row)
 	}
+	if len(page.Rows) == 0 {
+		e.rowDeleted(page.Version)
+	}
+}
+
+// rowDeleted records that the row is gone as of a version of the store, for example because
+// an operator deleted it. The token is kept, as the next one must be higher, and the lease is
+// free after the same wait as after a last renewal: the row may have been another host's.
+func (e *Elector) rowDeleted(version uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.version == 0 || version < e.version {
+		return
+	}
+	e.version, e.absentAt, e.held, e.changed = 0, version, false, true
+	e.log.Info("lease row is gone", "fence", e.row.Fence, "version", version)
 }
--- a/internal/rowlease/elector_test.go
+++ b/internal/rowlease/elector_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
 	"github.com/sapphirehatch/sapphirehatch/internal/rowlease"
 	"github.com/sapphirehatch/sapphirehatch/internal/rowlease/rowleasetest"
@@ -230,6 +231,39 @@
 	}
 }
 
+// The row of the lease is deleted. The duty must go on, after a term and under a higher token.
+func TestDeletedRow(t *testing.T) {
+	for _, number := range []int{1, 3} {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := platformtest.NewRows()
+				hosts := make([]*rowleasetest.Candidate, number)
+				for i := range hosts {
+					hosts[i] = rowleasetest.Start(rows, rowlease.Usage, fmt.Sprint(i), "a")
+					defer hosts[i].Stop()
+				}
+				w := &watchdog{t: t}
+				for deletion := range 3 {
+					time.Sleep(8 * time.Second)
+					w.check(hosts)
+					if time.Since(w.last) > 0 {
+						t.Fatalf("no host holds the lease after %d deletions", deletion)
+					}
+					before, deletedAt := w.fence, time.Now()
+					rows.Delete(platform.RowID{Table: rowlease.Table, Part: rowlease.Usage, Key: rowlease.Usage})
+					for w.fence == before && time.Since(deletedAt) < 12*time.Second {
+						time.Sleep(50 * time.Millisecond)
+						w.check(hosts)
+					}
+					if after := time.Since(deletedAt); w.fence != before+1 || after < rowleasetest.Term {
+						t.Errorf("token %d after %d, %s after the deletion", w.fence, before, after)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Each lease has its own row, so a host may hold one and not another.
 func TestLeasesAreIndependent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
