usage: bound how long failures of the store delay a window

Cause: any failed call to the store unloaded the state and delayed all windows by 2 s, again with each failure and without an upper bound. Change: a read that fails is repeated once after 150 ms, within the timeout. A window is decided 9 s after its end although the hosts' counts are awaited, from the parts that could be read. It is not decided if nothing could be read. A window that was not decided by then because of an outage is late in any case: the hosts' counts are awaited for it as long as contact is back for as long as the decision is late, at most 2 s in all outages since the store was settled last.

--- a/internal/usage/plan.go
+++ b/internal/usage/plan.go
@@ -10,6 +10,9 @@
 	// incompleteDelay is the same while a host is unreachable, which may still write its
 	// counts. A report is due 10 s after the end, and needs some time itself.
 	incompleteDelay = 7 * time.Second
+	// latestDelay is how long after its end a window is decided although the hosts' counts
+	// are still awaited, so that the report can be sent before it is due, 10 s after the end.
+	latestDelay = 9 * time.Second
 )
 
 // Report is the decided report of a window.
@@ -35,6 +38,9 @@
 	// Settled is false while the row store failed so recently that hosts may not have
 	// written their counts since.
 	Settled bool
+	// Contact is the time in contact with the store since it was last settled. SettleTime is
+	// the time in contact after which the hosts usually have written their counts.
+	Contact, SettleTime time.Duration
 	// Incomplete is true if a host is unreachable that may have counts to write.
 	Incomplete bool
 	// Waiting holds the windows whose report failed and is not to be repeated yet, and
@@ -77,7 +83,11 @@
 	if s.Incomplete {
 		delay = incompleteDelay
 	}
-	step.Decide = s.Settled && s.Now >= endOf(step.State.Next, s.Length)+delay
+	after := s.Now - endOf(step.State.Next, s.Length)
+	// A window that was not decided by latestDelay because of an outage of the store is late
+	// in any case, so the hosts' counts are awaited once more, but not after each failure.
+	late := after - latestDelay
+	step.Decide = s.Settled && after >= delay || late >= 0 && s.Contact >= min(late, s.SettleTime)
 	for _, report := range step.State.Decided {
 		if !s.Waiting[report.Window] && (step.Send == nil || s.Failures[report.Window] < s.Failures[step.Send.Window]) {
 			step.Send = &report
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -23,8 +23,13 @@
 const (
 	// stepInterval is the time between two steps of the holder.
 	stepInterval = 100 * time.Millisecond
-	// storeTimeout bounds one step's calls to the store.
+	// storeTimeout bounds the reads of a step, and its commit.
 	storeTimeout = 2 * time.Second
+	// minReadTime is the least time for the reads of a window that must be decided soon.
+	minReadTime = 500 * time.Millisecond
+	// readRepeatWait is the wait before a read that failed is repeated. The store limits
+	// reads by tenths of a second.
+	readRepeatWait = 150 * time.Millisecond
 	// maxContactAge is the age of the last contact with the store from which it counts
 	// as lost; it grows with the interval factor.
 	maxContactAge = time.Second
@@ -96,6 +101,10 @@
 	// lostAt is when the contact with the store was last lost, and unreachableAt when a
 	// host was last unreachable.
 	lostAt, unreachableAt time.Time
+	// contact is the time in contact with the store since it was last settled, and steppedAt
+	// when the last step began.
+	contact   time.Duration
+	steppedAt time.Time
 	// garbage holds the rows to delete, by part.
 	garbage map[string][]platform.RowID
 	// sweepFrom is the window up to which old parts were deleted.
@@ -115,9 +124,7 @@
 
 // step does what is due now, if this host holds the lease.
 func (r *Reporter) step(ctx context.Context) {
-	if _, asked := r.Hosts.StoreClock(); time.Since(asked) > r.scaled(maxContactAge) {
-		r.lostAt = time.Now()
-	}
+	settled := r.observeContact()
 	if r.Hosts.Unreachable(incompleteDelay + r.Length) {
 		r.unreachableAt = time.Now()
 	}
@@ -132,7 +139,7 @@
 	}
 	waiting, failures := r.unaccepted()
 	plan := Plan(r.state, Situation{
-		Now: now, Length: r.Length, Settled: time.Since(r.lostAt) >= r.scaled(settleTime),
+		Now: now, Length: r.Length, Settled: settled, Contact: r.contact, SettleTime: r.scaled(settleTime),
 		Incomplete: time.Since(r.unreachableAt) < r.scaled(settleTime), Waiting: waiting, Failures: failures,
 	})
 	r.state = plan.State
@@ -159,6 +166,24 @@
 	r.deleteGarbage(ctx)
 }
 
+// observeContact records whether there is contact with the store, and returns true if it was
+// not lost within settleTime.
+func (r *Reporter) observeContact() bool {
+	now, last := time.Now(), r.steppedAt
+	r.steppedAt = now
+	if _, asked := r.Hosts.StoreClock(); now.Sub(asked) > r.scaled(maxContactAge) {
+		r.lostAt = now
+		return false
+	}
+	if now.Sub(r.lostAt) >= r.scaled(settleTime) {
+		r.contact = 0
+		return true
+	}
+	// A step may have waited for the store for seconds.
+	r.contact += min(now.Sub(last), maxContactAge)
+	return false
+}
+
 // scaled returns a time scaled to the number of hosts.
 func (r *Reporter) scaled(usual time.Duration) time.Duration {
 	return time.Duration(float64(usual) * r.Hosts.IntervalFactor())
@@ -184,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	id := stateRow()
-	page, err := r.Rows.Read(ctx, platform.RowRange{Table: id.Table, Part: id.Part, Limit: 1})
+	page, err := r.readRows(ctx, platform.RowRange{Table: id.Table, Part: id.Part, Limit: 1})
 	if err != nil {
 		r.storeFailed("read of the usage state", err)
 		return false
@@ -238,7 +263,7 @@
 		after = strconv.FormatInt(from-1, 10) + "~"
 	}
 	for {
-		page, err := r.Rows.Parts(ctx, Table, after)
+		page, err := repeated(ctx, func() (platform.PartPage, error) { return r.Rows.Parts(ctx, Table, after) })
 		if err != nil {
 			return nil, err
 		}
@@ -254,29 +279,61 @@
 	}
 }
 
+// readRows reads a page of rows.
+func (r *Reporter) readRows(ctx context.Context, q platform.RowRange) (platform.RowPage, error) {
+	return repeated(ctx, func() (platform.RowPage, error) { return r.Rows.Read(ctx, q) })
+}
+
+// repeated makes a read, and repeats it once if it fails before ctx ends: a single read that
+// the store refuses must not delay a window by settleTime.
+func repeated[T any](ctx context.Context, read func() (T, error)) (T, error) {
+	result, err := read()
+	if err != nil && pause.For(ctx, readRepeatWait) {
+		return read()
+	}
+	return result, err
+}
+
 // storeFailed records a failed call to the store, after which the state is read again.
 func (r *Reporter) storeFailed(what string, err error) {
 	r.loaded, r.lostAt = false, time.Now()
 	r.Log.Info("usage reports wait for the store", "call", what, "error", err.Error())
 }
 
-// decide adds up the counts of the next window and commits the sum to the state row, on
-// the condition that it is at the known version. It returns false if this host must read
-// the state again.
-func (r *Reporter) decide(ctx context.Context, now time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+// readCounts adds up the counts of a window and returns the rows, and the parts of all
+// windows. From latestDelay on it returns the sum of those rows that could be read.
+func (r *Reporter) readCounts(ctx context.Context, window int64, now time.Duration) (map[string]uint64, []platform.RowID, map[int64][]string, error) {
+	began, timeout := time.Now(), storeTimeout
+	latest := endOf(window, r.Length) + latestDelay
+	if left := latest - now; left > 0 {
+		timeout = min(timeout, max(left, minReadTime))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	window := r.state.Next
 	parts, err := r.parts(ctx, min(window, r.sweepFrom))
 	if err != nil {
-		r.storeFailed("list of usage windows", err)
-		return false
+		return nil, nil, nil, err
 	}
 	counts, rows, err := r.sum(ctx, parts[window])
+	if err != nil && len(rows) > 0 && now+time.Since(began) >= latest {
+		r.Log.Info("usage window is decided without the counts that could not be read", "window", window, "rows", len(rows), "error", err.Error())
+		err = nil
+	}
+	return counts, rows, parts, err
+}
+
+// decide adds up the counts of the next window and commits the sum to the state row, on
+// the condition that it is at the known version. It returns false if this host must read
+// the state again.
+func (r *Reporter) decide(ctx context.Context, now time.Duration) bool {
+	window := r.state.Next
+	counts, rows, parts, err := r.readCounts(ctx, window, now)
 	if err != nil {
 		r.storeFailed("read of usage counts", err)
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	next := State{Next: window + 1, Decided: append(append([]Report{}, r.state.Decided...), Report{Window: window, Counts: counts})}
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -310,13 +367,11 @@
 	return true
 }
 
-// sum adds up the counts in parts and returns the ids of the rows.
+// sum adds up the counts in parts and returns the ids of the rows. With an error it returns
+// those of the parts that could be read.
 func (r *Reporter) sum(ctx context.Context, parts []string) (map[string]uint64, []platform.RowID, error) {
 	counts := map[string]uint64{}
 	rows, err := r.readParts(ctx, parts)
-	if err != nil {
-		return nil, nil, err
-	}
 	ids := make([]platform.RowID, 0, len(rows))
 	for _, row := range rows {
 		ids = append(ids, row.RowID)
@@ -329,10 +384,11 @@
 			counts[team] += n
 		}
 	}
-	return counts, ids, nil
+	return counts, ids, err
 }
 
-// readParts reads all rows of parts, maxReads at once.
+// readParts reads all rows of parts, maxReads at once. With an error it returns those of the
+// parts that could be read.
 func (r *Reporter) readParts(ctx context.Context, parts []string) ([]platform.VersionedRow, error) {
 	var mu sync.Mutex
 	var rows []platform.VersionedRow
@@ -353,7 +409,7 @@
 func (r *Reporter) readPart(ctx context.Context, part string) ([]platform.VersionedRow, error) {
 	var rows []platform.VersionedRow
 	for from := ""; ; {
-		page, err := r.Rows.Read(ctx, platform.RowRange{Table: Table, Part: part, From: from})
+		page, err := r.readRows(ctx, platform.RowRange{Table: Table, Part: part, From: from})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -433,6 +433,144 @@
 	})
 }
 
+// refusingStore is a store that refuses some calls without executing them.
+type refusingStore struct {
+	platform.RowStore
+	mu sync.Mutex
+	// reads and commits are the numbers of calls to come that are refused, and part a part
+	// whose reads are all refused.
+	reads, commits int
+	part           string
+}
+
+// refuse counts down n and returns an error unless n is zero.
+func (s *refusingStore) refuse(n *int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if *n == 0 {
+		return nil
+	}
+	*n--
+	return failure.New(failure.StoreUnavailable, "", "the store answered 429")
+}
+
+func (s *refusingStore) Read(ctx context.Context, q platform.RowRange) (platform.RowPage, error) {
+	if s.part != "" && q.Part == s.part {
+		return platform.RowPage{}, failure.New(failure.StoreUnavailable, "", "the part can't be read")
+	}
+	if err := s.refuse(&s.reads); err != nil {
+		return platform.RowPage{}, err
+	}
+	return s.RowStore.Read(ctx, q)
+}
+
+func (s *refusingStore) Parts(ctx context.Context, table, after string) (platform.PartPage, error) {
+	if err := s.refuse(&s.reads); err != nil {
+		return platform.PartPage{}, err
+	}
+	return s.RowStore.Parts(ctx, table, after)
+}
+
+func (s *refusingStore) Commit(ctx context.Context, tx platform.RowTransaction) (platform.CommitResult, error) {
+	if err := s.refuse(&s.commits); err != nil {
+		return platform.CommitResult{}, err
+	}
+	return s.RowStore.Commit(ctx, tx)
+}
+
+// loadedReporter returns a reporter whose next window is 100, on a store with counts of that
+// window in the parts "100" and "100.1".
+func loadedReporter(t *testing.T) (*Reporter, *refusingStore, *platformtest.Rows) {
+	t.Helper()
+	rows := platformtest.NewRows()
+	rows.Put(platform.RowID{Table: Table, Part: "100", Key: "a"}, []byte(`{"x":3}`))
+	rows.Put(platform.RowID{Table: Table, Part: "100.1", Key: "b"}, []byte(`{"x":4}`))
+	rows.Put(stateRow(), []byte(`{"next":100}`))
+	store := &refusingStore{RowStore: rows.Client()}
+	r := NewReporter(Config{Rows: store, Hosts: roster.New(logr.Discard()), Length: length, Log: logr.Discard()})
+	if !r.load(t.Context(), 1, endOf(100, length)) {
+		t.Fatal("the state is not loaded")
+	}
+	return r, store, rows
+}
+
+// A single read that the store refuses must neither unload the state nor delay a window.
+func TestRefusedReadIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, store, _ := loadedReporter(t)
+		store.reads = 1
+		if !r.load(t.Context(), 2, endOf(100, length)) {
+			t.Error("the state is not loaded after one refused read")
+		}
+		// The list of the parts and one of their reads.
+		for range 2 {
+			store.reads = 1
+			if !r.decide(t.Context(), endOf(r.state.Next, length)+readDelay) || !r.lostAt.IsZero() {
+				t.Fatal("a window is not decided after one refused read")
+			}
+		}
+		if counts := r.state.Decided[0].Counts; counts["x"] != 7 {
+			t.Errorf("the counts are %v", counts)
+		}
+		store.reads = 100
+		if began := time.Now(); r.decide(t.Context(), endOf(r.state.Next, length)+readDelay) || r.loaded || time.Since(began) > storeTimeout {
+			t.Error("a window is decided in a store that refuses all reads")
+		}
+	})
+}
+
+// Counts that can't be read must not delay a window for longer than until latestDelay, or
+// the report would be late.
+func TestWindowIsDecidedWithoutCountsThatCanNotBeRead(t *testing.T) {
+	for _, test := range []struct {
+		after   time.Duration
+		decided bool
+	}{{readDelay, false}, {latestDelay - time.Second, false}, {latestDelay, true}} {
+		t.Run(test.after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, store, rows := loadedReporter(t)
+				store.part = "100.1"
+				decided := r.decide(t.Context(), endOf(100, length)+test.after)
+				if decided != test.decided || r.loaded != test.decided {
+					t.Fatalf("decided: %t, loaded: %t", decided, r.loaded)
+				}
+				if decided && r.state.Decided[0].Counts["x"] != 3 {
+					t.Errorf("the counts are %v", r.state.Decided[0].Counts)
+				}
+				r.deleteGarbage(t.Context())
+				if n := rows.Count("100.1"); n != 1 {
+					t.Errorf("%d rows are left that were not read, want 1", n)
+				}
+			})
+		})
+	}
+}
+
+// A store that is lost again before the hosts' counts have been awaited must not delay all
+// windows without an upper bound.
+func TestReportsWhileTheStoreIsLostAgainAndAgain(t *testing.T) {
+	simulate(t, func(t *testing.T, _ *platformtest.Rows, control *fakeControl, hosts []*process) {
+		time.Sleep(15 * time.Second)
+		for range 24 {
+			for _, down := range []bool{true, false} {
+				for _, h := range hosts {
+					h.Rows.SetDown(down)
+				}
+				time.Sleep(1250 * time.Millisecond)
+			}
+		}
+		wantNoGap(t, control, 12)
+		control.set(func(c *fakeControl) {
+			for window, at := range c.acceptedAt {
+				// An outage may begin right before the decision.
+				if after := time.Duration(at.UnixNano()) - endOf(window, length); after > latestDelay+2*time.Second {
+					t.Errorf("window %d is accepted %s after its end", window, after)
+				}
+			}
+		})
+	})
+}
+
 // A former holder that was suspended between reading the counts and committing their sum
 // must not change what its successor decided.
 func TestSuspendedHolderResumesWithAnOldSum(t *testing.T) {
