--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -107,7 +108,7 @@
 	steppedAt time.Time
 	// garbage holds the rows to delete, by part.
 	garbage map[string][]platform.RowID
-	// sweepFrom is the window up to which old parts were deleted.
+	// sweepFrom is the window before which no parts are left.
 	sweepFrom int64
 }
 
@@ -435,7 +436,8 @@
 	wait.Wait()
 }
 
-// sweep marks rows of old windows as garbage.
+// sweep marks rows of old windows as garbage. They are listed again by the next decision
+// until no part is left, because a read or a deletion may fail.
 func (r *Reporter) sweep(ctx context.Context, parts map[int64][]string) {
 	limit := r.state.Next - sweepAge
 	var old []string
@@ -444,16 +446,20 @@
 			old = append(old, names...)
 		}
 	}
-	if len(old) < maxSweep {
-		r.sweepFrom = limit
+	if len(old) == 0 {
+		r.sweepFrom = max(r.sweepFrom, limit)
+		return
 	}
 	rows, err := r.readParts(ctx, old)
 	if err != nil {
-		return
+		r.Log.V(1).Info("old usage counts not read", "error", err.Error())
 	}
+	swept := map[string][]platform.RowID{}
 	for _, row := range rows {
-		r.garbage[row.Part] = append(r.garbage[row.Part], row.RowID)
+		swept[row.Part] = append(swept[row.Part], row.RowID)
 	}
+	// The rows of a part that was marked before and is not deleted yet are among them.
+	maps.Copy(r.garbage, swept)
 }
 
 // deleteGarbage deletes the rows of some parts. What is left after a failure or a
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -519,6 +519,46 @@
 	})
 }
 
+// Rows of old windows must be deleted by the same holder although the first sweep fails, at
+// its reads or at its deletions.
+func TestFailedSweepIsRepeated(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// part is the part whose reads are refused, and commits the number of deletions.
+		part    string
+		commits int
+	}{{"read", "50", 0}, {"deletion", "", 100}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, store, rows := loadedReporter(t)
+				rows.Put(platform.RowID{Table: Table, Part: "50", Key: "a"}, []byte(`{"x":1}`))
+				rows.Put(platform.RowID{Table: Table, Part: "50", Key: "b"}, []byte(`{"x":1}`))
+				for round := range 3 {
+					if round == 0 {
+						store.part = test.part
+					}
+					if !r.decide(t.Context(), endOf(r.state.Next, length)+readDelay) {
+						t.Fatal("a window is not decided")
+					}
+					if round == 0 {
+						store.commits = test.commits
+					}
+					for range 3 {
+						r.deleteGarbage(t.Context())
+					}
+					store.part, store.commits = "", 0
+				}
+				if n := rows.Count("50"); n != 0 {
+					t.Errorf("%d rows of an old window are left", n)
+				}
+				if r.sweepFrom != r.state.Next-sweepAge {
+					t.Errorf("old parts are listed again from window %d on", r.sweepFrom)
+				}
+			})
+		})
+	}
+}
+
 // Counts that can't be read must not delay a window for longer than until latestDelay, or
 // the report would be late.
 func TestWindowIsDecidedWithoutCountsThatCanNotBeRead(t *testing.T) {
