gateway: count a request whose earlier attempt may have run

Cause: an attempt without an answer counts, but only if no attempt was answered. If a later one was answered with an error status, the request was not counted. Change: Handle counts once at its end, on success and failure, at the earliest start of an attempt that may have run or may be running. Measured: three cases of TestAttemptThatMayHaveRunIsCountedBeforeAnError were not counted before and are now; requests that were refused or rejected by all replicas are still not counted. go test -count=3 ./internal/gateway passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,6 +159,8 @@
 		running: map[string]time.Time{},
 	}
 	answer, err := f.run(ctx)
+	// An attempt may have run although a later one was answered with an error status.
+	f.count(f.firstBegun())
 	if err != nil {
 		e := failure.As(err)
 		g.events.Event("request_failed")
@@ -374,7 +376,6 @@
 	case f.lastFailure != nil:
 		return f.lastFailure, nil
 	case f.inFlight > 0 || f.unknown:
-		f.count(f.firstBegun())
 		kind := failure.UpstreamFailed
 		if ctx.Err() != nil {
 			kind = failure.DeadlineExceeded
--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -87,6 +88,60 @@
 	}
 }
 
+// inOrder answers the attempts in their order, at whichever replica.
+type inOrder struct {
+	mu   sync.Mutex
+	list []response
+}
+
+func (o *inOrder) Exchange(ctx context.Context, target fleet.Replica, req *fasthttp.Request, resp *fasthttp.Response, once bool) error {
+	o.mu.Lock()
+	next := o.list[0]
+	o.list = o.list[1:]
+	o.mu.Unlock()
+	return (&fakeReplicas{responses: map[string][]response{target.ID: {next}}}).Exchange(ctx, target, req, resp, once)
+}
+
+// An attempt that may have run counts, also if a later attempt is answered with an error
+// status, which says nothing of the first one.
+func TestAttemptThatMayHaveRunIsCountedBeforeAnError(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		name    string
+		list    []response
+		counted bool
+		// at is when the counted attempt began, at most.
+		at time.Duration
+	}{
+		{"answer lost, then rejected", []response{{50 * ms, 0, errBroken}, {2 * ms, 400, nil}}, true, 0},
+		{"answer lost, then an error", []response{{50 * ms, 0, errBroken}, {2 * ms, 503, nil}}, true, 0},
+		{"answer lost twice", []response{{50 * ms, 0, errBroken}, {50 * ms, 0, errBroken}}, true, 0},
+		{"answer lost, then answered", []response{{50 * ms, 0, errBroken}, {2 * ms, 200, nil}}, true, 200 * ms},
+		{"still running, then rejected", []response{{time.Hour, 0, nil}, {2 * ms, 400, nil}}, true, 0},
+		{"refused, then rejected", []response{{2 * ms, 0, errRefused}, {2 * ms, 400, nil}}, false, 0},
+		{"an error, then rejected", []response{{2 * ms, 503, nil}, {2 * ms, 400, nil}}, false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				usage := &recordedUsage{}
+				g := New(fleetOf("a", "b"), &inOrder{list: test.list}, noGuard{}, "", nil, logr.Discard())
+				g.SetUsageCounter(usage)
+				route := &routes.Route{Kind: routes.Idempotent, Timeout: 1400 * ms, LatencyObjective: 100 * ms, MaxAttempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+				began := time.Now()
+				call := Call{Team: "t", Kind: telemetry.Plain, Route: route, Request: new(fasthttp.Request), Deadline: began.Add(1400 * ms)}
+				_, _ = g.Handle(t.Context(), call, new(fasthttp.Response))
+				synctest.Wait()
+				if n := len(usage.at); test.counted != (n == 1) || n > 1 {
+					t.Fatalf("counted %d times", n)
+				}
+				if test.counted && usage.at[0].Sub(began) > test.at {
+					t.Errorf("counted at %s", usage.at[0].Sub(began))
+				}
+			})
+		})
+	}
+}
+
 // The counts of a window are read 4 s after its end, so a request that runs for longer
 // must be counted before its answer arrives.
 func TestLongRequestIsCountedWhileItRuns(t *testing.T) {
