usage: record counts that are dropped because of too many windows

Cause: Counter.limit dropped changed counts without an event, and the request itself if its own window was the oldest. The check for an empty team stood twice, and a line of the doc comment of rowlease.Elector was over-long. Change: limit is applied after the request is counted and raises usage_counted_late for counts that are not written. The check stands in gateway.countUsage only, which is the only caller and checks the kind of the request, too. Measured: TestDroppedCountsAreRecorded: no event before, one now; none if the counts are written. go test -count=2 of usage, gateway and rowlease passes.

--- a/internal/rowlease/elector.go
+++ b/internal/rowlease/elector.go
@@ -76,9 +76,10 @@
 func ActingTime(term time.Duration) time.Duration { return term - leaseMargin }
 
 // Elector competes for one named lease on behalf of one host. It implements
-// follow.Sink for the rows of Table and ignores those of other leases. Unlike the elector of package lease, which
-// polls a platform.Table and measures the wait before a takeover on this host's
-// clock, it follows the row store and measures the wait on the store clock.
+// follow.Sink for the rows of Table and ignores those of other leases. Unlike the
+// elector of package lease, which polls a platform.Table and measures the wait before a
+// takeover on this host's clock, it follows the row store and measures the wait on the
+// store clock.
 type Elector struct {
 	name, host, incarnation string
 	term                    time.Duration
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -43,12 +43,9 @@
 	return &Counter{clock: clock, length: length, events: events, tallies: map[int64]*tally{}}
 }
 
-// Began counts a request of a team that began to run at a replica at a time. It ignores
-// requests without a team.
+// Began counts a request of a team that began to run at a replica at a time. The caller
+// excludes requests without a team.
 func (c *Counter) Began(team string, at time.Time) {
-	if team == "" {
-		return
-	}
 	since1970, ok := c.clock.TrueTime(at)
 	if !ok {
 		// Only in the first moments of a host, before it has read the store clock.
@@ -61,7 +58,6 @@
 	if t == nil {
 		t = &tally{counts: map[string]uint64{}}
 		c.tallies[window] = t
-		c.limit()
 	}
 	if t.closed {
 		c.events.Event("usage_counted_late")
@@ -69,9 +65,11 @@
 	}
 	t.counts[team]++
 	t.changed = true
+	c.limit()
 }
 
-// limit drops the oldest tally if there are more than maxTallies. The caller holds mu.
+// limit drops the oldest tally if there are more than maxTallies, and records an event if
+// that loses counts. The caller holds mu.
 func (c *Counter) limit() {
 	if len(c.tallies) <= maxTallies {
 		return
@@ -82,6 +80,9 @@
 			oldest = window
 		}
 	}
+	if c.tallies[oldest].changed {
+		c.events.Event("usage_counted_late")
+	}
 	delete(c.tallies, oldest)
 }
 
