usage: make TestTokenChangesDuringADecision independent of the order of a moment

The elector of the check was also set without a lock. Change: tokens are abandoned between two steps, and the elector is guarded.

--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -706,12 +706,16 @@
 // tokenCheck is a Sender that checks that a call has the token under which the host may act.
 type tokenCheck struct {
 	*fakeControl
-	t       *testing.T
+	t *testing.T
+	// elector is that of the host, guarded by mu.
 	elector *rowlease.Elector
 }
 
 func (c *tokenCheck) ReportUsage(ctx context.Context, grant rowlease.Grant, window int64, counts map[string]uint64) error {
-	if fence, _, ok := c.elector.Held(); !ok || fence != grant.Fence {
+	c.mu.Lock()
+	elector := c.elector
+	c.mu.Unlock()
+	if fence, _, ok := elector.Held(); !ok || fence != grant.Fence {
 		c.t.Errorf("a call under token %d, the host may act under token %d: %t", grant.Fence, fence, ok)
 	}
 	return c.fakeControl.ReportUsage(ctx, grant, window, counts)
@@ -724,8 +728,10 @@
 		rows, check := platformtest.NewRows(), &tokenCheck{fakeControl: newControl(), t: t}
 		check.down = true
 		host := startProcess(rows, check, "0", "first")
-		check.elector = host.Elector
-		time.Sleep(15 * time.Second)
+		check.set(func(*fakeControl) { check.elector = host.Elector })
+		// The tokens are abandoned between two steps of the reporter and not at the moment of a
+		// step, when the order of the two would be open.
+		time.Sleep(15*time.Second + stepInterval/3)
 		host.Rows.SlowWrites(StateTable, time.Second, 0)
 		for range 100 {
 			time.Sleep(200 * time.Millisecond)
