--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,8 @@
 	g.fleet.BeginRequest(f.service)
 	defer g.fleet.EndRequest(f.service)
 	answer, err := f.run(ctx)
+	// An attempt may have run although a later one was answered with an error status.
+	f.count(f.firstBegun())
 	if err != nil {
 		e := failure.As(err)
 		g.events.Event("request_failed")
@@ -376,7 +378,6 @@
 	case f.lastFailure != nil:
 		return f.lastFailure, nil
 	case f.inFlight > 0 || f.unknown:
-		f.count(f.firstBegun())
 		kind := failure.UpstreamFailed
 		if ctx.Err() != nil {
 			kind = failure.DeadlineExceeded
--- a/internal/rowlease/elector_test.go
+++ b/internal/rowlease/elector_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
 	"github.com/sapphirehatch/sapphirehatch/internal/rowlease"
 	"github.com/sapphirehatch/sapphirehatch/internal/rowlease/rowleasetest"
@@ -189,6 +190,80 @@
 	})
 }
 
+// An earlier process of the same host may still act, for example because it was not ended
+// when the next one was started. The next one must not act meanwhile.
+func TestRestartedHostWaitsForItsEarlierProcess(t *testing.T) {
+	for _, test := range []struct {
+		lease string
+		// from and to are the least and the longest wait. The follower of a Candidate polls
+		// for a second and more, which adds to the wait.
+		from, to time.Duration
+	}{
+		{rowlease.Usage, rowlease.ActingTime(rowleasetest.Term), rowleasetest.Term * 3 / 2},
+		{rowlease.Scaling, rowlease.ActingTime(rowleasetest.Term), rowleasetest.Term * 3 / 2},
+		{rowlease.Weights, 0, time.Second},
+	} {
+		t.Run(test.lease, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := platformtest.NewRows()
+				earlier := rowleasetest.Start(rows, test.lease, "0", "a")
+				time.Sleep(2 * time.Second)
+				if _, _, ok := earlier.Elector.Held(); !ok {
+					t.Fatal("the first process does not hold the lease")
+				}
+				earlier.Rows.SetDown(true)
+				next := rowleasetest.Start(rows, test.lease, "0", "b")
+				began := time.Now()
+				for time.Since(began) < 2*rowleasetest.Term {
+					if _, _, ok := next.Elector.Held(); ok {
+						break
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				_, _, ok := earlier.Elector.Held()
+				if after := time.Since(began); after < test.from || after > test.to || ok && test.from > 0 {
+					t.Errorf("the next process acts after %s, and the earlier one may act: %t", after, ok)
+				}
+				earlier.Stop()
+				next.Stop()
+			})
+		})
+	}
+}
+
+// The row of the lease is deleted. The duty must go on, after a term and under a higher token.
+func TestDeletedRow(t *testing.T) {
+	for _, number := range []int{1, 3} {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := platformtest.NewRows()
+				hosts := make([]*rowleasetest.Candidate, number)
+				for i := range hosts {
+					hosts[i] = rowleasetest.Start(rows, rowlease.Usage, fmt.Sprint(i), "a")
+					defer hosts[i].Stop()
+				}
+				w := &watchdog{t: t}
+				for deletion := range 3 {
+					time.Sleep(8 * time.Second)
+					w.check(hosts)
+					if time.Since(w.last) > 0 {
+						t.Fatalf("no host holds the lease after %d deletions", deletion)
+					}
+					before, deletedAt := w.fence, time.Now()
+					rows.Delete(platform.RowID{Table: rowlease.Table, Part: rowlease.Usage, Key: rowlease.Usage})
+					for w.fence == before && time.Since(deletedAt) < 12*time.Second {
+						time.Sleep(50 * time.Millisecond)
+						w.check(hosts)
+					}
+					if after := time.Since(deletedAt); w.fence != before+1 || after < rowleasetest.Term {
+						t.Errorf("token %d after %d, %s after the deletion", w.fence, before, after)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Each lease has its own row, so a host may hold one and not another.
 func TestLeasesAreIndependent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -35,6 +35,10 @@
 	lost, late int
 	lateBy     time.Duration
 	down       bool
+	// slow makes all calls take that long and fail, after they were executed.
+	slow time.Duration
+	// acceptedAt is when each window was first accepted.
+	acceptedAt map[int64]time.Time
 	// stale makes calls with tokens up to it fail.
 	stale   uint64
 	broken  []string
@@ -42,10 +46,12 @@
 }
 
 func newControl() *fakeControl {
-	return &fakeControl{accepted: map[int64]map[string]uint64{}, holder: map[uint64]string{}}
+	return &fakeControl{accepted: map[int64]map[string]uint64{}, acceptedAt: map[int64]time.Time{}, holder: map[uint64]string{}}
 }
 
 func (c *fakeControl) ReportUsage(_ context.Context, grant rowlease.Grant, window int64, counts map[string]uint64) error {
+	slow := time.Duration(0)
+	defer func() { time.Sleep(slow) }()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if grant.Until.Passed() {
@@ -65,6 +71,10 @@
 		return failure.New(failure.StaleFencingToken, failure.NotRun, "stale")
 	case c.down:
 		return failure.New(failure.UpstreamUnreachable, failure.NotRun, "down")
+	case c.slow > 0:
+		slow = c.slow
+		c.accept(window, counts)
+		return noReply
 	case c.lost > 0:
 		c.lost--
 		c.accept(window, counts)
@@ -90,6 +100,9 @@
 		c.broken = append(c.broken, fmt.Sprintf("window %d: %v and %v", window, known, counts))
 	}
 	c.accepted[window] = maps.Clone(counts)
+	if _, ok := c.acceptedAt[window]; !ok {
+		c.acceptedAt[window] = time.Now()
+	}
 }
 
 func (c *fakeControl) set(change func(*fakeControl)) {
@@ -311,6 +324,26 @@
 	})
 }
 
+// A control API that executes calls but answers after the timeout gets each report in time,
+// and not only repeats of the same few.
+func TestControlAPIAnswersAfterTheTimeout(t *testing.T) {
+	simulate(t, func(t *testing.T, _ *platformtest.Rows, control *fakeControl, hosts []*process) {
+		time.Sleep(15 * time.Second)
+		control.set(func(c *fakeControl) { c.slow = time.Second })
+		n := request(hosts, "x", 40*time.Second)
+		time.Sleep(10 * time.Second)
+		wantSum(t, control, "x", n)
+		wantNoGap(t, control, 11)
+		control.set(func(c *fakeControl) {
+			for window, at := range c.acceptedAt {
+				if after := time.Duration(at.UnixNano()) - endOf(window, length); after > 10*time.Second {
+					t.Errorf("window %d is accepted %s after its end", window, after)
+				}
+			}
+		})
+	})
+}
+
 // With the control API down, reports are kept in the order of their windows and sent when it
 // is back; those of windows that ended more than 60 s ago are given up.
 func TestControlAPIDown(t *testing.T) {
@@ -400,6 +433,184 @@
 	})
 }
 
+// refusingStore is a store that refuses some calls without executing them.
+type refusingStore struct {
+	platform.RowStore
+	mu sync.Mutex
+	// reads and commits are the numbers of calls to come that are refused, and part a part
+	// whose reads are all refused.
+	reads, commits int
+	part           string
+}
+
+// refuse counts down n and returns an error unless n is zero.
+func (s *refusingStore) refuse(n *int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if *n == 0 {
+		return nil
+	}
+	*n--
+	return failure.New(failure.StoreUnavailable, "", "the store answered 429")
+}
+
+func (s *refusingStore) Read(ctx context.Context, q platform.RowRange) (platform.RowPage, error) {
+	if s.part != "" && q.Part == s.part {
+		return platform.RowPage{}, failure.New(failure.StoreUnavailable, "", "the part can't be read")
+	}
+	if err := s.refuse(&s.reads); err != nil {
+		return platform.RowPage{}, err
+	}
+	return s.RowStore.Read(ctx, q)
+}
+
+func (s *refusingStore) Parts(ctx context.Context, table, after string) (platform.PartPage, error) {
+	if err := s.refuse(&s.reads); err != nil {
+		return platform.PartPage{}, err
+	}
+	return s.RowStore.Parts(ctx, table, after)
+}
+
+func (s *refusingStore) Commit(ctx context.Context, tx platform.RowTransaction) (platform.CommitResult, error) {
+	if err := s.refuse(&s.commits); err != nil {
+		return platform.CommitResult{}, err
+	}
+	return s.RowStore.Commit(ctx, tx)
+}
+
+// loadedReporter returns a reporter whose next window is 100, on a store with counts of that
+// window in the parts "100" and "100.1".
+func loadedReporter(t *testing.T) (*Reporter, *refusingStore, *platformtest.Rows) {
+	t.Helper()
+	rows := platformtest.NewRows()
+	rows.Put(platform.RowID{Table: Table, Part: "100", Key: "a"}, []byte(`{"x":3}`))
+	rows.Put(platform.RowID{Table: Table, Part: "100.1", Key: "b"}, []byte(`{"x":4}`))
+	rows.Put(stateRow(), []byte(`{"next":100}`))
+	store := &refusingStore{RowStore: rows.Client()}
+	r := NewReporter(Config{Rows: store, Hosts: roster.New(logr.Discard()), Length: length, Log: logr.Discard()})
+	if !r.load(t.Context(), 1, endOf(100, length)) {
+		t.Fatal("the state is not loaded")
+	}
+	return r, store, rows
+}
+
+// A single read that the store refuses must neither unload the state nor delay a window.
+func TestRefusedReadIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, store, _ := loadedReporter(t)
+		store.reads = 1
+		if !r.load(t.Context(), 2, endOf(100, length)) {
+			t.Error("the state is not loaded after one refused read")
+		}
+		// The list of the parts and one of their reads.
+		for range 2 {
+			store.reads = 1
+			if !r.decide(t.Context(), endOf(r.state.Next, length)+readDelay) || !r.lostAt.IsZero() {
+				t.Fatal("a window is not decided after one refused read")
+			}
+		}
+		if counts := r.state.Decided[0].Counts; counts["x"] != 7 {
+			t.Errorf("the counts are %v", counts)
+		}
+		store.reads = 100
+		if began := time.Now(); r.decide(t.Context(), endOf(r.state.Next, length)+readDelay) || r.loaded || time.Since(began) > storeTimeout {
+			t.Error("a window is decided in a store that refuses all reads")
+		}
+	})
+}
+
+// Rows of old windows must be deleted by the same holder although the first sweep fails, at
+// its reads or at its deletions.
+func TestFailedSweepIsRepeated(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// part is the part whose reads are refused, and commits the number of deletions.
+		part    string
+		commits int
+	}{{"read", "50", 0}, {"deletion", "", 100}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, store, rows := loadedReporter(t)
+				rows.Put(platform.RowID{Table: Table, Part: "50", Key: "a"}, []byte(`{"x":1}`))
+				rows.Put(platform.RowID{Table: Table, Part: "50", Key: "b"}, []byte(`{"x":1}`))
+				for round := range 3 {
+					if round == 0 {
+						store.part = test.part
+					}
+					if !r.decide(t.Context(), endOf(r.state.Next, length)+readDelay) {
+						t.Fatal("a window is not decided")
+					}
+					if round == 0 {
+						store.commits = test.commits
+					}
+					for range 3 {
+						r.deleteGarbage(t.Context())
+					}
+					store.part, store.commits = "", 0
+				}
+				if n := rows.Count("50"); n != 0 {
+					t.Errorf("%d rows of an old window are left", n)
+				}
+				if r.sweepFrom != r.state.Next-sweepAge {
+					t.Errorf("old parts are listed again from window %d on", r.sweepFrom)
+				}
+			})
+		})
+	}
+}
+
+// Counts that can't be read must not delay a window for longer than until latestDelay, or
+// the report would be late.
+func TestWindowIsDecidedWithoutCountsThatCanNotBeRead(t *testing.T) {
+	for _, test := range []struct {
+		after   time.Duration
+		decided bool
+	}{{readDelay, false}, {latestDelay - time.Second, false}, {latestDelay, true}} {
+		t.Run(test.after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, store, rows := loadedReporter(t)
+				store.part = "100.1"
+				decided := r.decide(t.Context(), endOf(100, length)+test.after)
+				if decided != test.decided || r.loaded != test.decided {
+					t.Fatalf("decided: %t, loaded: %t", decided, r.loaded)
+				}
+				if decided && r.state.Decided[0].Counts["x"] != 3 {
+					t.Errorf("the counts are %v", r.state.Decided[0].Counts)
+				}
+				r.deleteGarbage(t.Context())
+				if n := rows.Count("100.1"); n != 1 {
+					t.Errorf("%d rows are left that were not read, want 1", n)
+				}
+			})
+		})
+	}
+}
+
+// A store that is lost again before the hosts' counts have been awaited must not delay all
+// windows without an upper bound.
+func TestReportsWhileTheStoreIsLostAgainAndAgain(t *testing.T) {
+	simulate(t, func(t *testing.T, _ *platformtest.Rows, control *fakeControl, hosts []*process) {
+		time.Sleep(15 * time.Second)
+		for range 24 {
+			for _, down := range []bool{true, false} {
+				for _, h := range hosts {
+					h.Rows.SetDown(down)
+				}
+				time.Sleep(1250 * time.Millisecond)
+			}
+		}
+		wantNoGap(t, control, 12)
+		control.set(func(c *fakeControl) {
+			for window, at := range c.acceptedAt {
+				// An outage may begin right before the decision.
+				if after := time.Duration(at.UnixNano()) - endOf(window, length); after > latestDelay+2*time.Second {
+					t.Errorf("window %d is accepted %s after its end", window, after)
+				}
+			}
+		})
+	})
+}
+
 // A former holder that was suspended between reading the counts and committing their sum
 // must not change what its successor decided.
 func TestSuspendedHolderResumesWithAnOldSum(t *testing.T) {
@@ -492,6 +703,49 @@
 	})
 }
 
+// tokenCheck is a Sender that checks that a call has the token under which the host may act.
+type tokenCheck struct {
+	*fakeControl
+	t *testing.T
+	// elector is that of the host, guarded by mu.
+	elector *rowlease.Elector
+}
+
+func (c *tokenCheck) ReportUsage(ctx context.Context, grant rowlease.Grant, window int64, counts map[string]uint64) error {
+	c.mu.Lock()
+	elector := c.elector
+	c.mu.Unlock()
+	if fence, _, ok := elector.Held(); !ok || fence != grant.Fence {
+		c.t.Errorf("a call under token %d, the host may act under token %d: %t", grant.Fence, fence, ok)
+	}
+	return c.fakeControl.ReportUsage(ctx, grant, window, counts)
+}
+
+// The token changes while a window is decided. A report that waits must not be sent under
+// the old one.
+func TestTokenChangesDuringADecision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, check := platformtest.NewRows(), &tokenCheck{fakeControl: newControl(), t: t}
+		check.down = true
+		host := startProcess(rows, check, "0", "first")
+		check.set(func(*fakeControl) { check.elector = host.Elector })
+		// The tokens are abandoned between two steps of the reporter and not at the moment of a
+		// step, when the order of the two would be open.
+		time.Sleep(15*time.Second + stepInterval/3)
+		host.Rows.SlowWrites(StateTable, time.Second, 0)
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			if fence, _, ok := host.Elector.Held(); ok {
+				host.Elector.Abandon(fence)
+			}
+		}
+		if check.seen().calls == 0 {
+			t.Error("no call was made")
+		}
+		host.kill()
+	})
+}
+
 // After an outage of the store the holder waits until the hosts have written what they
 // counted, and no host keeps more than its counts of the last windows meanwhile.
 func TestCountsOfAStoreOutageAreReported(t *testing.T) {
