--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -44,6 +44,12 @@
 	// owns, and let it make calls to the row store while the store turns them away.
 	// Callers must not reach it. Empty, the default, takes no calls, and makes none.
 	PeerAddress string `ini:"peer_address" validate:"omitempty,ipport,nefield=CallerAddress"`
+	// MemoryMB is the memory of the host in units of 1,048,576 bytes. The default 0 sets no
+	// limit from the host's memory.
+	MemoryMB int `ini:"memory_mb" validate:"eq=0|gte=64,lte=16777216"`
+	// MaxFDs is the number of descriptors that the host may open. The default 0 uses the
+	// limit of the process.
+	MaxFDs int `ini:"max_fds" validate:"eq=0|gte=32"`
 	// MetricsAddress is the TCP ip:port of the metrics. It must differ from CallerAddress.
 	// Empty, the default, serves no metrics.
 	MetricsAddress string `ini:"metrics_address" validate:"omitempty,ipport,nefield=CallerAddress"`
