intake: limit what clients can make a host hold

Cause: each request had a limit of 32 MB, their sum, the connections and the time that a client takes had none. 40 connections that stop short of their end made a host of the rows adapter hold 132 to 1,379 MB where it has 96.

Change: internal/intake has one budget of bytes for all listeners of the rows adapter, limits of connections for each listener and address, and minimum progress for headers, bodies and answers. Bodies are read by its handler (StreamRequestBody) after they are reserved; one in chunks reserves as it grows; an answer is reserved before it is read from the replica. Accepted jobs and their texts count as background. Refusals are 408, 413, 431 and 503 with Retry-After; none of these requests was run. All attempts at a request share its body, an answer is not copied, a job is decoded without a copy of its text and stored one rollout at a time, and a job above 4 MB is not sent to its owner.

A test of storing a job takes the last transaction from another result; what it checks is the same. callergone treats a wrapped connection without a descriptor as before.

--- a/internal/callergone/gone.go
+++ b/internal/callergone/gone.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -18,6 +19,9 @@
 		return false
 	}
 	raw, err := sys.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return false
+	}
 	if err != nil {
 		return true
 	}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -87,7 +87,7 @@
 			log.Error(err, "settings not reloaded, the previous ones stay in effect")
 			continue
 		}
-		restartRequired := next.Host != current.Host || next.Platform != current.Platform || next.Timing != current.Timing || next.Swap != current.Swap
+		restartRequired := next.Host != current.Host || next.Platform != current.Platform || next.Timing != current.Timing || next.Swap != current.Swap || next.Limits != current.Limits
 		log.Info("settings reloaded", "level", next.Log.Level, "others_wait_for_restart", restartRequired)
 	}
 }
--- a/internal/failure/errors.go
+++ b/internal/failure/errors.go
@@ -34,7 +34,12 @@
 	Forbidden       Kind = "forbidden"
 	NotFound        Kind = "not_found"
 	BodyTooLarge    Kind = "body_too_large"
-	Conflict        Kind = "conflict"
+	HeaderTooLarge  Kind = "header_too_large"
+	// NotReceived means that a request was not received completely in time.
+	NotReceived Kind = "not_received"
+	// Overloaded means that a host has no memory for a request.
+	Overloaded Kind = "overloaded"
+	Conflict   Kind = "conflict"
 	// KeyReused means that the idempotency key was used for another request.
 	KeyReused Kind = "idempotency_key_reused"
 	// KeyExpired means that the idempotency key is too old to tell whether its request was executed.
@@ -83,6 +88,9 @@
 	Forbidden:           http.StatusForbidden,
 	NotFound:            http.StatusNotFound,
 	BodyTooLarge:        http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
+	NotReceived:         http.StatusRequestTimeout,
+	Overloaded:          http.StatusServiceUnavailable,
 	Conflict:            http.StatusConflict,
 	KeyReused:           http.StatusConflict,
 	KeyExpired:          http.StatusConflict,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,11 +139,34 @@
 		"id", call.ID, "route", call.Route.Name, "service", f.service, "replica", f.answeredBy,
 		"status", answer.StatusCode(), "sent", f.attempts, "took", time.Since(began), "configuration", call.ConfigVersion, "trail", f.attemptLog.String(),
 	}, f.estimate.LogFields()...)...)
-	answer.CopyTo(resp)
+	moveAnswer(answer, resp)
 	fasthttp.ReleaseResponse(answer)
 	return f.report(), nil
 }
 
+// copiedBodyBytes is the largest body of an answer that is copied. Copying a small body lets
+// the HTTP library reuse its buffer; of a larger one there is only one copy in memory.
+const copiedBodyBytes = 64 << 10
+
+// shareRequest makes to a request with the header of from and the same body, which neither may
+// change.
+func shareRequest(from, to *fasthttp.Request) {
+	from.Header.CopyTo(&to.Header)
+	to.SetBodyRaw(from.Body())
+}
+
+// moveAnswer moves an answer to the response to the caller.
+func moveAnswer(from, to *fasthttp.Response) {
+	body := from.Body()
+	if len(body) <= copiedBodyBytes {
+		from.CopyTo(to)
+		return
+	}
+	from.SwapBody(nil)
+	from.CopyTo(to)
+	to.SetBodyRaw(body)
+}
+
 // report returns the summary of the attempts made so far.
 func (f *forwardCall) report() Report { return Report{Attempts: f.attempts, Failures: f.failures} }
 
@@ -203,7 +226,7 @@
 	f.estimate = target.Estimate
 	f.attemptLog.begin(target.ID)
 	req := fasthttp.AcquireRequest()
-	f.call.Request.CopyTo(req)
+	shareRequest(f.call.Request, req)
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
 		resp := fasthttp.AcquireResponse()
@@ -295,6 +318,10 @@
 // recordFailure reports a failed attempt to the fleet, which starts the replica's
 // backoff.
 func (g *Gateway) recordFailure(id string, e *failure.Error) {
+	if e.Kind == failure.Overloaded {
+		// This host had no memory for the answer.
+		return
+	}
 	if e.Kind == failure.QueueFull {
 		g.fleet.RecordRefusal(id, "")
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -101,7 +101,7 @@
 	defer timeout.Stop()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	s.call.Request.CopyTo(req)
+	shareRequest(s.call.Request, req)
 	if len(s.avoid) == 0 {
 		s.events.QueueWait(s.call.Kind, time.Since(s.attemptLog.began))
 	}
@@ -116,17 +116,17 @@
 			s.sink.Begin(header)
 		}
 	}, func(id int, raw []byte) error {
-		if s.call.Route.Resumable {
-			timeout.Reset(streamEventTimeout)
-		} else {
-			timeout.Stop()
-		}
+		// A caller that reads slowly is no reason to ask another replica.
+		timeout.Stop()
 		if !seen {
 			seen = true
 			s.events.FirstByte(s.call.Kind, time.Since(began))
 		}
 		s.after = id
 		s.sinkErr = s.sink.Event(raw)
+		if s.call.Route.Resumable {
+			timeout.Reset(streamEventTimeout)
+		}
 		return s.sinkErr
 	})
 	if err == nil && s.begun && !streamed {
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -38,16 +38,16 @@
 	if host, incarnation, ok := m.hosts.PreferredHost(owner.rankingKey(spec.ID)); ok {
 		owner.Host, owner.Incarnation = host, incarnation
 	}
-	txs, owner, err := acceptTransactions(spec, owner)
-	if err != nil {
-		return err
-	}
-	for _, tx := range txs[:len(txs)-1] {
+	last, owner, err := acceptTransactions(spec, owner, func(tx platform.RowTransaction) error {
 		if _, err := m.store.rows.Commit(ctx, tx); err != nil {
 			return failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "job %s was not stored", spec.ID)
 		}
+		return nil
+	})
+	if err != nil {
+		return err
 	}
-	result, err := m.commitUntilDecided(ctx, spec.ID, txs[len(txs)-1])
+	result, err := m.commitUntilDecided(ctx, spec.ID, last)
 	if failure.IsKind(err, failure.Conflict) {
 		m.log.Info("job was already accepted", "job", spec.ID)
 		return nil
@@ -64,7 +64,7 @@
 	defer m.mu.Unlock()
 	accepted := Acceptance{ID: spec.ID, Owner: owner, Version: result.Version, Spec: spec}
 	m.acceptedLocked(accepted)
-	if !m.owns(owner) && m.notifyOwner != nil {
+	if !m.owns(owner) && m.notifyOwner != nil && spec.size() <= maxNotifyBytes {
 		m.wg.Go(func() { m.tellOwner(accepted) })
 	}
 	return nil
--- a/internal/job/commit_test.go
+++ b/internal/job/commit_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/platform"
 	"github.com/sapphirehatch/sapphirehatch/internal/platform/platformtest"
 )
 
@@ -14,11 +15,13 @@
 // the owner row of the first.
 func TestSecondAcceptanceConflicts(t *testing.T) {
 	rows := platformtest.NewRows().Client()
-	txs, _, err := acceptTransactions(spec("job", 2), OwnerRow{Host: "a", Total: 2})
+	last, _, err := acceptTransactions(spec("job", 2), OwnerRow{Host: "a", Total: 2}, func(platform.RowTransaction) error {
+		t.Error("a small job needs more than one transaction")
+		return nil
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	last := txs[len(txs)-1]
 	if _, err := rows.Commit(context.Background(), last); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/job/generate.go
+++ b/internal/job/generate.go
@@ -176,7 +176,7 @@
 	}
 	r.m.events.Event("text_dropped")
 	r.log.Info("text dropped, because no engine continues it", "rollout", task.rollout.ID, "events", len(task.events), "weight_version", version, "held", held, "waited", waited)
-	task.dropText()
+	r.dropText(task)
 }
 
 // logMissingRuleLocked logs once that the run waits for a configuration. The caller holds mu.
@@ -268,7 +268,7 @@
 	case e.Version < r.spec.MinVersion:
 		return errStaleVersion
 	case c.rule.OnPolicy && len(task.events) > 0 && task.events[0].Version != e.Version:
-		task.dropText()
+		r.dropText(task)
 		return errStaleVersion
 	}
 	if len(task.events) > task.eventsBefore {
@@ -277,6 +277,7 @@
 		r.m.events.FirstByte(telemetry.Rollout, now.Sub(task.lastEvent))
 	}
 	task.events = append(task.events, e)
+	r.textBytes.Add(textSize(task.events[len(task.events)-1:]))
 	task.lastEvent, task.textAt = now, now
 	return nil
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -20,6 +20,26 @@
 	Rollouts   []Rollout `json:"rollouts"`
 }
 
+// size returns about how many bytes of memory the spec takes.
+func (s *Spec) size() int64 {
+	size := 0
+	for i := range s.Rollouts {
+		r := &s.Rollouts[i]
+		size += rolloutOverhead + len(r.Body)
+		if r.Score != nil {
+			size += len(r.Score.Body)
+		}
+		for name, value := range r.Headers {
+			size += len(name) + len(value)
+		}
+	}
+	return int64(size)
+}
+
+// rolloutOverhead is about what a rollout and its task take in memory beside its bodies and
+// headers, in bytes.
+const rolloutOverhead = 512
+
 // Rollout is one generation of a job.
 type Rollout struct {
 	ID string `json:"id"`
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -397,6 +397,23 @@
 	})
 }
 
+// HeldBytes returns about how many bytes of memory the jobs that this process runs, or has
+// lately run, take.
+func (m *Manager) HeldBytes() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var held int64
+	for _, r := range m.runs {
+		held += r.specBytes.Load() + r.textBytes.Load()
+	}
+	for _, ended := range m.endedRuns {
+		for _, r := range ended {
+			held += r.specBytes.Load() + r.textBytes.Load()
+		}
+	}
+	return held
+}
+
 // storeNow returns the estimated present time of the store clock; zero if it is not
 // known.
 func (m *Manager) storeNow() time.Duration {
--- a/internal/job/notify.go
+++ b/internal/job/notify.go
@@ -18,6 +18,11 @@
 // feed is as fast.
 const notifyTimeout = 300 * time.Millisecond
 
+// maxNotifyBytes is the size of the largest job that is sent to its owner. The owner reads a
+// larger one from the store, in parts: encoding it would need as much memory again on both
+// hosts.
+const maxNotifyBytes = 4 << 20
+
 // Acceptance tells a host that it owns a job that another host has accepted, so that
 // it need not wait for the change feed, whose interval grows with the number of hosts,
 // and need not read the job from the store. It only speeds things up: the owner row
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -46,6 +46,7 @@
 		task := &rolloutTask{rollout: rollout, position: i, avoid: map[string]bool{}, waitingSince: now, textAt: now}
 		if t, ok := texts[rollout.ID]; ok {
 			task.events, task.savedEvents, task.restarts, task.failures = t.events, len(t.events), t.restarts, t.failures
+			r.textBytes.Add(textSize(t.events))
 		}
 		r.tasks = append(r.tasks, task)
 		r.byID[rollout.ID] = task
@@ -82,6 +83,7 @@
 	r.mu.Lock()
 	r.spec = spec
 	r.mu.Unlock()
+	r.specBytes.Store(spec.size())
 	r.log.Info("job restored", "rollouts", len(spec.Rollouts), "listed", len(*results), "texts", len(*texts))
 	return nil
 }
@@ -196,6 +198,7 @@
 		}
 		if hasText && versionsAllowed(t.events, r.spec.MinVersion) {
 			task.events = t.events
+			r.textBytes.Add(textSize(t.events))
 			begun++
 		}
 	}
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -130,6 +131,9 @@
 	missingRuleLogged bool
 	// prepared is true once tasks is complete.
 	prepared bool
+
+	// specBytes is the size of spec, and textBytes that of the texts of its rollouts.
+	specBytes, textBytes atomic.Int64
 }
 
 // Reasons for cancelling an attempt of a rollout.
@@ -147,6 +151,9 @@
 		byID: map[string]*rolloutTask{}, wake: make(chan struct{}, 1), done: make(chan struct{}), savedAt: time.Now(),
 	}
 	r.ctx, r.cancel = context.WithCancelCause(m.ctx)
+	if spec != nil {
+		r.specBytes.Store(spec.size())
+	}
 	return r
 }
 
@@ -267,6 +274,24 @@
 	notify(r.wake)
 }
 
+// dropText drops the text of a rollout. The caller holds mu.
+func (r *jobRun) dropText(task *rolloutTask) {
+	r.textBytes.Add(-textSize(task.events))
+	task.dropText()
+}
+
+// eventOverhead is what an event takes in memory beside its text, in bytes.
+const eventOverhead = 24
+
+// textSize returns how many bytes of memory events take.
+func textSize(events []Event) int64 {
+	size := 0
+	for i := range events {
+		size += len(events[i].Data) + eventOverhead
+	}
+	return int64(size)
+}
+
 // dropText drops the text of a rollout, which is then generated from its start.
 func (task *rolloutTask) dropText() {
 	task.events, task.savedEvents, task.unsavable = nil, 0, false
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -68,36 +69,92 @@
 	return platform.RowWrite{RowID: ownerRowID(job), Value: value}, nil
 }
 
-// acceptTransactions returns the transactions that store a job, to be committed in
-// order, and the owner row that they write. The last one creates the owner row, and
-// with it the job; it fails with Conflict if the job exists.
-func acceptTransactions(spec *Spec, owner OwnerRow) ([]platform.RowTransaction, OwnerRow, error) {
-	encoded, err := json.Marshal(spec)
-	if err != nil {
-		return nil, owner, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "cannot encode the job")
-	}
-	chunks := splitChunks(encoded, chunkBytes)
-	owner.Chunks = len(chunks)
-	ownerRowWrite, err := ownerWrite(spec.ID, owner)
-	if err != nil {
-		return nil, owner, err
-	}
-	var txs []platform.RowTransaction
+// acceptTransactions returns the transactions that store a job and the owner row that they
+// write. It passes all but the last one to commit, in order, so that only one of them is in
+// memory at a time. The last one creates the owner row, and with it the job; it fails with
+// Conflict if the job exists.
+func acceptTransactions(spec *Spec, owner OwnerRow, commit func(platform.RowTransaction) error) (platform.RowTransaction, OwnerRow, error) {
 	tx := platform.RowTransaction{}
 	size := 0
-	for i, chunk := range chunks {
+	chunks := &chunkWriter{}
+	chunks.emit = func(chunk []byte) error {
 		if size+len(chunk) > maxCommitBytes {
-			txs = append(txs, tx)
+			if err := commit(tx); err != nil {
+				return err
+			}
 			tx, size = platform.RowTransaction{}, 0
 		}
-		id := platform.RowID{Table: tableSpecs, Part: spec.ID, Key: fmt.Sprintf("%06d", i)}
+		id := platform.RowID{Table: tableSpecs, Part: spec.ID, Key: fmt.Sprintf("%06d", owner.Chunks)}
 		tx.Writes = append(tx.Writes, platform.RowWrite{RowID: id, Value: chunk})
 		size += len(chunk)
+		owner.Chunks++
+		return nil
+	}
+	if err := encodeSpec(chunks, spec); err != nil {
+		return tx, owner, err
+	}
+	ownerRowWrite, err := ownerWrite(spec.ID, owner)
+	if err != nil {
+		return tx, owner, err
 	}
 	tx.Writes = append(tx.Writes, ownerRowWrite)
 	// Version zero: the row must not exist.
 	tx.Checks = []platform.RowCheck{{RowID: ownerRowID(spec.ID)}}
-	return append(txs, tx), owner, nil
+	return tx, owner, nil
+}
+
+// chunkWriter splits what is written into chunks of chunkBytes.
+type chunkWriter struct {
+	emit func(chunk []byte) error
+	next []byte
+}
+
+// Write implements io.Writer.
+func (w *chunkWriter) Write(p []byte) (int, error) {
+	written := len(p)
+	for len(w.next)+len(p) > chunkBytes {
+		n := chunkBytes - len(w.next)
+		w.next = append(w.next, p[:n]...)
+		chunk := w.next
+		w.next, p = nil, p[n:]
+		if err := w.emit(chunk); err != nil {
+			return 0, err
+		}
+	}
+	w.next = append(w.next, p...)
+	return written, nil
+}
+
+// encodeSpec writes the JSON of a spec in chunks, one rollout at a time: a copy of all of it
+// would be as large as the job.
+func encodeSpec(w *chunkWriter, spec *Spec) error {
+	// The rollouts are the last field.
+	const noRollouts = `null}`
+	head := *spec
+	head.Rollouts = nil
+	encoded, err := json.Marshal(head)
+	if err != nil || !bytes.HasSuffix(encoded, []byte(noRollouts)) {
+		return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "cannot encode the job")
+	}
+	if _, err := w.Write(append(encoded[:len(encoded)-len(noRollouts)], '[')); err != nil {
+		return err
+	}
+	for i := range spec.Rollouts {
+		encoded, err := json.Marshal(&spec.Rollouts[i])
+		if err != nil {
+			return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "cannot encode the job")
+		}
+		if i > 0 {
+			encoded = append([]byte{','}, encoded...)
+		}
+		if _, err := w.Write(encoded); err != nil {
+			return err
+		}
+	}
+	if _, err := w.Write([]byte("]}")); err != nil {
+		return err
+	}
+	return w.emit(w.next)
 }
 
 func splitChunks(encoded []byte, size int) [][]byte {
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/intake"
 	"github.com/sapphirehatch/sapphirehatch/internal/strictini"
 )
 
@@ -20,6 +21,7 @@
 	Log      Log          `ini:"log"`
 	Timing   RowsTiming   `ini:"timing"`
 	Swap     RowsSwap     `ini:"swap"`
+	Limits   RowsLimits   `ini:"limits"`
 }
 
 // RowsHost is the [host] section.
@@ -44,12 +46,13 @@
 	// owns, and let it make calls to the row store while the store turns them away.
 	// Callers must not reach it. Empty, the default, takes no calls, and makes none.
 	PeerAddress string `ini:"peer_address" validate:"omitempty,ipport,nefield=CallerAddress"`
-	// MemoryMB is the memory of the host in units of 1,048,576 bytes. The default 0 sets no
-	// limit from the host's memory.
-	MemoryMB int `ini:"memory_mb" validate:"eq=0|gte=64,lte=16777216"`
-	// MaxFDs is the number of descriptors that the host may open. The default 0 uses the
-	// limit of the process.
-	MaxFDs int `ini:"max_fds" validate:"eq=0|gte=32"`
+	// MemoryMB is the memory of the host in units of 1,048,576 bytes, from which the limits of
+	// RowsLimits and the soft memory limit of the Go runtime (75 %) are computed. The default
+	// 0 sets no soft limit and computes the others for 4,096.
+	MemoryMB float64 `ini:"memory_mb" validate:"gte=0,lte=16777216"`
+	// MaxFDs is the number of descriptors that the host may open, of which clients get a
+	// part. The default 0 uses the limit of the process.
+	MaxFDs int `ini:"max_fds" validate:"gte=0"`
 	// MetricsAddress is the TCP ip:port of the metrics. It must differ from CallerAddress.
 	// Empty, the default, serves no metrics.
 	MetricsAddress string `ini:"metrics_address" validate:"omitempty,ipport,nefield=CallerAddress"`
@@ -87,6 +90,31 @@
 	MaxConcurrentLoads int `ini:"at_once" validate:"gte=0"`
 }
 
+// RowsLimits is the [limits] section, on what clients may make the host hold. Keys whose default
+// is 0 are then computed from host.memory_mb and host.max_fds.
+type RowsLimits struct {
+	// BudgetMB is the memory for bodies of requests, answers, events and jobs, in units of
+	// 1,048,576 bytes. What does not fit is refused with 503. The default 0 is 45 % of
+	// host.memory_mb, or 1,843 without it.
+	BudgetMB int `ini:"budget_mb" validate:"gte=0,lte=16777216"`
+	// CallerConnections is the largest number of callers' connections. Above it, connections
+	// that were idle for the longest time make way. The default 0 is 2/5 of the descriptors,
+	// or fewer if their buffers would take more than a fifth of the memory.
+	CallerConnections int `ini:"caller_connections" validate:"gte=0"`
+	// AddressConnections is the largest number of connections of callers at one address. The
+	// default 0 is three quarters of CallerConnections.
+	AddressConnections int `ini:"address_connections" validate:"gte=0"`
+	// StallTimeout is how long no byte of a request's body may arrive; then it is answered
+	// 408. Default 5s.
+	StallTimeout time.Duration `ini:"stall_timeout" validate:"gt=0"`
+	// MinBodyRate is the least average rate of a body after 10 s, in bytes a second; below it
+	// the request is answered 408. Default 8192.
+	MinBodyRate int `ini:"min_body_rate" validate:"gt=0"`
+	// WriteTimeout is the time in which a caller must take each 65,536 bytes of an answer;
+	// then its connection is closed. Default 10s.
+	WriteTimeout time.Duration `ini:"write_timeout" validate:"gt=0"`
+}
+
 // DefaultRows returns the defaults for keys that are not in the file.
 func DefaultRows() *Rows {
 	return &Rows{
@@ -99,6 +127,7 @@
 
 			QuarantineTerm: 10 * time.Minute,
 		},
+		Limits: RowsLimits{StallTimeout: intake.DefaultStallTimeout, MinBodyRate: intake.DefaultMinBodyRate, WriteTimeout: intake.DefaultWriteTimeout},
 	}
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/sapphirehatch/sapphirehatch/internal/engineapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/intake"
 	"github.com/sapphirehatch/sapphirehatch/internal/membership"
 	"github.com/sapphirehatch/sapphirehatch/internal/telemetry"
 )
@@ -189,6 +190,8 @@
 		outcome = failure.NotRun
 	}
 	switch {
+	case errors.Is(cause, intake.ErrNoMemory):
+		return failure.Wrap(cause, failure.Overloaded, outcome, "no memory for the answer of upstream %s", target.ID)
 	case ctx.Err() != nil:
 		return failure.Wrap(cause, failure.DeadlineExceeded, outcome, "no complete answer from upstream %s within the deadline", target.ID)
 	case outcome == failure.NotRun:
@@ -213,16 +216,26 @@
 		return err
 	}
 	telemetry.CallFirstByteHook(ctx)
-	return readBody(co, resp)
+	return readBody(ctx, co, resp)
 }
 
-// readBody reads the body that follows the header in resp.
-func readBody(co *conn, resp *fasthttp.Response) error {
+// readBody reads the body that follows the header in resp. It is charged to the account of
+// ctx, if there is one.
+func readBody(ctx context.Context, co *conn, resp *fasthttp.Response) error {
 	if !bodyExpected(resp) {
 		return checkDrained(co)
 	}
 	// ReadBody bounds the body, but not the framing of its chunks.
 	co.limitReceived(maxFramedBytes)
+	if account := intake.AccountOf(ctx); account != nil {
+		length := resp.Header.ContentLength()
+		if length < 0 {
+			return readUnknownLength(co, resp, account)
+		}
+		if length <= maxAnswerBytes && !account.Reserve(int64(length)) {
+			return intake.ErrNoMemory
+		}
+	}
 	if err := resp.ReadBody(co.reader, maxAnswerBytes); err != nil {
 		return err
 	}
@@ -234,6 +247,25 @@
 	return checkDrained(co)
 }
 
+// readUnknownLength reads a body whose length is not stated, and charges it to an account as
+// it grows.
+func readUnknownLength(co *conn, resp *fasthttp.Response, account *intake.Account) error {
+	resp.StreamBody = true
+	if err := resp.ReadBody(co.reader, 0); err != nil {
+		return err
+	}
+	body, err := intake.ReadGrowing(resp.BodyStream(), account, maxAnswerBytes)
+	if closeErr := resp.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	resp.StreamBody = false
+	resp.SetBodyRaw(body)
+	return checkDrained(co)
+}
+
 // readHeader reads the header of the final answer.
 func (c *Client) readHeader(co *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
 	for range maxAnswerHeaders {
--- a/internal/upstream/options.go
+++ b/internal/upstream/options.go
@@ -60,7 +60,7 @@
 		if resp.StatusCode() == fasthttp.StatusOK {
 			err = readStreamBody(ac, resp, read)
 		} else {
-			err = readBody(ac.conn, resp)
+			err = readBody(ctx, ac.conn, resp)
 		}
 	}
 	if err != nil {
