callerapi: the same limits of what callers can make a host hold

Cause: as on the rows adapter, the sum of what callers send had no limit.

Change: the caller listener of the product's own adapter is behind internal/intake, with host.memory_mb and host.max_fds; the body of a request is not copied to the inbound request. Limits of body and headers are those that it had. A response may stay unread for a minute, because a trainer may be busy for some time (TestStopWaitsForACallerThatReadsSlowly reads after 20 s).

--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -35,7 +35,7 @@
 // under the same idempotency key before.
 func excludesEarlierRun(kind failure.Kind) bool {
 	switch kind {
-	case failure.InvalidRequest, failure.Unauthorized, failure.BodyTooLarge, failure.KeyReused:
+	case failure.InvalidRequest, failure.Unauthorized, failure.BodyTooLarge, failure.HeaderTooLarge, failure.KeyReused:
 		return true
 	}
 	return false
--- a/internal/callerapi/provide.go
+++ b/internal/callerapi/provide.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/samber/do/v2"
 
@@ -14,6 +15,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/filter"
 	"github.com/sapphirehatch/sapphirehatch/internal/health"
+	"github.com/sapphirehatch/sapphirehatch/internal/intake"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
 )
 
@@ -38,8 +40,9 @@
 	if err != nil {
 		return nil, err
 	}
-	host := do.MustInvoke[*settings.Settings](i).Host
-	s := New(host.ID, do.MustInvoke[logr.Logger](i), source, hostDrain, entryAnswers, handler)
+	host, log := do.MustInvoke[*settings.Settings](i).Host, do.MustInvoke[logr.Logger](i)
+	s := New(host.ID, log, source, hostDrain, entryAnswers, handler)
+	s.gate = newGate(host, do.MustInvoke[*metrics.Set](i), log)
 	if s.health, err = do.Invoke[health.View](i); err != nil {
 		return nil, err
 	}
@@ -52,3 +55,19 @@
 	})
 	return s, nil
 }
+
+// eventCounter counts events in a set of metrics.
+type eventCounter struct{ set *metrics.Set }
+
+// Event implements intake.Counter.
+func (c eventCounter) Event(name string) {
+	c.set.GetOrCreateCounter(`sapphirehatch_events_total{event="` + name + `"}`).Inc()
+}
+
+// newGate returns the limits of what callers may make a host hold, with their metrics.
+func newGate(host settings.Host, set *metrics.Set, log logr.Logger) *intake.Gate {
+	gate := intake.New(intakeLimits(host.MemoryMB, host.MaxFDs), nil, eventCounter{set}, log)
+	set.GetOrCreateGauge("sapphirehatch_intake_reserved_bytes", func() float64 { return float64(gate.Budget().Used()) })
+	set.GetOrCreateGauge("sapphirehatch_intake_budget_bytes", func() float64 { return float64(gate.Budget().Total()) })
+	return gate
+}
--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/entryapi"
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/filter"
+	"github.com/sapphirehatch/sapphirehatch/internal/intake"
 	"github.com/sapphirehatch/sapphirehatch/internal/ring"
 )
 
@@ -41,11 +42,15 @@
 	}
 	conn := ctx.Conn()
 	r.CallerGone = func() bool { return callergone.Closed(conn) }
+	// There is only one copy of the body.
+	body := ctx.Request.Body()
+	ctx.Request.SetBodyRaw(nil)
 	ctx.Request.CopyTo(r.Inbound)
+	r.Inbound.SetBodyRaw(body)
 	r.Inbound.Header.SetNoDefaultContentType(true)
 	// The upstream gets the path unchanged: an escaped slash is not a path separator.
 	r.Inbound.URI().DisablePathNormalizing = true
-	reqCtx, cancel := context.WithTimeout(s.drain.Context(), timeout)
+	reqCtx, cancel := context.WithTimeout(intake.WithAccount(s.drain.Context(), intake.AccountOfRequest(ctx)), timeout)
 	if string(ctx.Path()) == engineapi.PathChat {
 		return s.serveStreamable(ctx, reqCtx, cancel, r)
 	}
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"strings"
 	"time"
@@ -19,13 +18,17 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/filter"
 	"github.com/sapphirehatch/sapphirehatch/internal/health"
+	"github.com/sapphirehatch/sapphirehatch/internal/intake"
 )
 
 const (
-	// readTimeout bounds the time to read one request.
+	// readTimeout bounds the time to read the headers of a request.
 	readTimeout = 30 * time.Second
 	// idleTimeout bounds the wait for the next request on a connection.
 	idleTimeout = 60 * time.Second
+	// writeTimeout bounds the time in which a caller reads each part of a response. A trainer
+	// may be busy for some time before it reads on.
+	writeTimeout = time.Minute
 	// writeMargin is the time after a request's deadline by which its response must
 	// have been written.
 	writeMargin = 5 * time.Second
@@ -52,6 +55,8 @@
 	// health is used to refuse entry requests while the host is isolated. It may be nil.
 	health health.View
 	http   *fasthttp.Server
+	// gate holds the limits of what callers may make the host hold.
+	gate   *intake.Gate
 	mounts []mount
 }
 
@@ -64,18 +69,16 @@
 // New returns a server that passes requests to handler. The id is that of the host;
 // every response names it. The server counts its requests with hostDrain.
 func New(id string, log logr.Logger, source deployment.Source, hostDrain *drain.Drain, entryAnswers *entry.HostSelector, handler filter.Handler) *Server {
-	s := &Server{id: id, log: log, source: source, drain: hostDrain, entry: entryAnswers, handler: handler}
+	s := &Server{
+		id: id, log: log, source: source, drain: hostDrain, entry: entryAnswers, handler: handler,
+		gate: intake.New(intakeLimits(0, 0), nil, uncounted{}, log),
+	}
 	s.http = &fasthttp.Server{
 		Name:           "sapphirehatch",
 		Handler:        s.serve,
-		ErrorHandler:   s.handleReadError,
 		HeaderReceived: s.requestConfig,
 		ReadBufferSize: maxHeaderBytes,
-		// Only connections on which a request is being read hold a buffer.
-		ReduceMemoryUsage:    true,
-		ReadTimeout:          readTimeout,
-		IdleTimeout:          idleTimeout,
-		MaxRequestBodySize:   defaultMaxBodyBytes,
+
 		NoDefaultContentType: true,
 		// Encoding a parsed form again would not reproduce the caller's bytes.
 		DisablePreParseMultipartForm: true,
@@ -94,8 +97,10 @@
 // Serve serves listener until ctx ends, then drains the host and closes the
 // connections. It returns an error of kind Internal if the listener fails earlier.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	limited := s.gate.Listen("callers", listener, s.limits, true)
+	intake.Protect(s.http, limited, s.refuseRead)
 	failed := make(chan error, 1)
-	go func() { failed <- s.http.Serve(listener) }()
+	go func() { failed <- s.http.Serve(limited) }()
 	select {
 	case err := <-failed:
 		return failure.Wrap(err, failure.Internal, "", "the listener of the caller address failed")
@@ -111,10 +116,29 @@
 	return nil
 }
 
-// requestConfig returns the limits of one request: its body size by the deployment
-// document, and the time to write its response by its deadline.
+// intakeLimits returns the limits of a host with an amount of memory and descriptors as for
+// intake.LimitsOf.
+func intakeLimits(memoryMB float64, maxFDs int) intake.Limits {
+	limits := intake.LimitsOf(memoryMB, maxFDs)
+	limits.WriteTimeout = writeTimeout
+	return limits
+}
+
+// uncounted is a counter of events without a recorder.
+type uncounted struct{}
+
+// Event implements intake.Counter.
+func (uncounted) Event(string) {}
+
+// limits returns the limits of receiving a request: that of the body is in the deployment
+// document.
+func (s *Server) limits() intake.RequestLimits {
+	return intake.RequestLimits{HeaderBytes: maxHeaderBytes, BodyBytes: s.maxBody(), HeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
+}
+
+// requestConfig returns the time to write the response to one request by its deadline.
 func (s *Server) requestConfig(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	config := fasthttp.RequestConfig{MaxRequestBodySize: s.maxBody(), WriteTimeout: maxDeadline + writeMargin}
+	config := fasthttp.RequestConfig{WriteTimeout: maxDeadline + writeMargin}
 	if timeout, err := s.requestTimeout(header); err == nil {
 		config.WriteTimeout = timeout + writeMargin
 	}
@@ -181,27 +205,15 @@
 	return s.serveRequest(ctx, id)
 }
 
-// handleReadError responds to a request that could not be read.
-func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+// refuseRead responds to a request that was not received completely.
+func (s *Server) refuseRead(ctx *fasthttp.RequestCtx, e *failure.Error) {
 	ctx.Response.Header.Set(engineapi.HeaderRequestID, uuid.NewString())
 	ctx.Response.Header.Set(entryapi.HeaderHost, s.id)
-	writeRequestError(ctx, readError(err, s.maxBody()))
-}
-
-// readError converts an error of the HTTP library while reading a request.
-func readError(err error, maxBody int) *failure.Error {
-	var smallBuffer *fasthttp.ErrSmallBuffer
-	var timeoutErr interface{ Timeout() bool }
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return failure.Wrap(err, failure.BodyTooLarge, failure.NotRun, "the request body is too large").
-			WithField("body").WithLimit(formatBytes(maxBody))
-	case errors.As(err, &smallBuffer):
-		return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the request headers are too large").
-			WithField("header").WithLimit(formatBytes(maxHeaderBytes))
-	case errors.As(err, &timeoutErr) && timeoutErr.Timeout():
-		return failure.Wrap(err, failure.DeadlineExceeded, failure.NotRun, "the request was not received in time").
-			WithLimit(readTimeout.String())
+	switch e.Kind {
+	case failure.BodyTooLarge:
+		e = e.WithField("body").WithLimit(formatBytes(s.maxBody()))
+	case failure.HeaderTooLarge:
+		e = e.WithField("header").WithLimit(formatBytes(maxHeaderBytes))
 	}
-	return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the request cannot be read")
+	writeRequestError(ctx, e)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,13 @@
 	FailureDomain string `ini:"failure_domain" validate:"required"`
 	// Region is the name of a group of failure domains. Optional.
 	Region string `ini:"region"`
+	// MemoryMB is the memory of the host in units of 1,048,576 bytes. What callers may make
+	// the host hold and the soft memory limit of the Go runtime (75 %) are computed from it.
+	// The default 0 sets no soft limit and computes the others for 4,096.
+	MemoryMB float64 `ini:"memory_mb" validate:"gte=0,lte=16777216"`
+	// MaxFDs is the number of descriptors that the host may open, of which callers'
+	// connections get 2/5. The default 0 uses the limit of the process.
+	MaxFDs int `ini:"max_fds" validate:"gte=0"`
 	// CallerAddress is the TCP ip:port for callers and trainers. Required.
 	CallerAddress string `ini:"caller_address" validate:"required,ipport"`
 	// AdminAddress is the TCP ip:port of the administration API, the metrics and the
