--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -69,8 +69,9 @@
 	readErr error
 
 	deadlineMu sync.Mutex
-	// writeDeadline is the time limit that the server has set for writes.
-	writeDeadline time.Time
+	// writeDeadline is the time limit that the server has set for writes, and writeArmed when
+	// the time limit of writing was last moved.
+	writeDeadline, writeArmed time.Time
 }
 
 func (c *Conn) enter(p phase) {
@@ -116,7 +117,7 @@
 func (c *Conn) SetWriteDeadline(t time.Time) error {
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
-	c.writeDeadline = t
+	c.writeDeadline, c.writeArmed = t, time.Time{}
 	return c.Conn.SetWriteDeadline(t)
 }
 
@@ -169,14 +170,7 @@
 	written := 0
 	for {
 		now := time.Now()
-		c.deadlineMu.Lock()
-		limit := now.Add(c.listener.gate.limits.WriteTimeout)
-		if !c.writeDeadline.IsZero() && c.writeDeadline.Before(limit) {
-			limit = c.writeDeadline
-		}
-		err := c.Conn.SetWriteDeadline(limit)
-		c.deadlineMu.Unlock()
-		if err != nil {
+		if err := c.armWrite(now); err != nil {
 			return written, err
 		}
 		c.writing.Store(now.UnixNano())
@@ -195,6 +189,22 @@
 	}
 }
 
+// armWrite moves the time limit of writing, unless it was moved within a tenth of it.
+func (c *Conn) armWrite(now time.Time) error {
+	timeout := c.listener.gate.limits.WriteTimeout
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if now.Sub(c.writeArmed) < timeout/10 {
+		return nil
+	}
+	c.writeArmed = now
+	limit := now.Add(timeout)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(limit) {
+		limit = c.writeDeadline
+	}
+	return c.Conn.SetWriteDeadline(limit)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.once.Do(func() {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -17,6 +17,9 @@
 	firstBufferBytes = 4 << 10
 )
 
+// chunkedLength is the length of a body in chunks at the HTTP library.
+const chunkedLength = -1
+
 // retryAfter is the Retry-After of requests that are refused for want of memory.
 const retryAfter = time.Second
 
@@ -43,8 +46,10 @@
 		}
 		// The library reads up to MaxRequestBodySize bytes of a body before it calls the
 		// handler, and leaves it to the handler to refuse a larger one.
-		config.ReadTimeout = listener.gate.limits.StallTimeout
 		config.MaxRequestBodySize = 1
+		if length := header.ContentLength(); length > 0 || length == chunkedLength {
+			config.ReadTimeout = listener.gate.limits.StallTimeout
+		}
 		return config
 	}
 	refuseAndCount := func(ctx *fasthttp.RequestCtx, e *failure.Error) {
