--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -26,6 +28,13 @@
 	lingerTime  = 500 * time.Millisecond
 )
 
+const (
+	// maxFraming times the largest body, and framingSlack more, is what a client may send for
+	// one body. Chunks of one byte take six bytes each.
+	maxFraming   = 8
+	framingSlack = 64 << 10
+)
+
 // errEvicted ends the reading of a body that made way for other requests.
 var errEvicted = errors.New("request ended for the benefit of others")
 
@@ -64,6 +73,8 @@
 	headerTimed bool
 	// armed is when the time limit of the body was last moved.
 	armed time.Time
+	// maxMoved is the largest number of bytes that are read for the body.
+	maxMoved int64
 	// readErr is the error that ended the reading of the body. The HTTP library hides it in
 	// some of its own.
 	readErr error
@@ -126,6 +137,10 @@
 	if phase(c.phase.Load()) != phaseBody {
 		return c.Conn.Read(p)
 	}
+	if c.moved.Load() > c.maxMoved {
+		c.readErr = fasthttp.ErrBodyTooLarge
+		return 0, c.readErr
+	}
 	if err := c.armBody(); err != nil {
 		c.readErr = err
 		return 0, err
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -143,6 +143,9 @@
 		{"large body that stops", post(testBody, "") + full[:testBody/2], 408, -1},
 		{"chunk that stops", chunkedHead + "5\r\nxx", 408, -1},
 		{"end of chunk that stops", chunkedHead + "5\r\nxxxxx", 408, -1},
+		{"size of a chunk that goes on", chunkedHead + strings.Repeat("0", 20000), 400, -1},
+		{"extension of a chunk that goes on", chunkedHead + "1;" + strings.Repeat("x", 9*testBody), 413, -1},
+		{"trailer that goes on", chunkedHead + "1\r\nx\r\n0\r\n" + strings.Repeat("X: y\r\n", 20000), 431, -1},
 		{"chunk without end", chunkedHead + "5\r\nxxxxxyy", 400, -1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -88,6 +88,7 @@
 		return tooLarge()
 	}
 	conn.enter(phaseBody)
+	conn.maxMoved = maxFraming*int64(limits.BodyBytes) + framingSlack
 	var body []byte
 	var err error
 	if length >= 0 {
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -136,6 +136,12 @@
 	if err != nil || !bytes.HasSuffix(encoded, []byte(noRollouts)) {
 		return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "cannot encode the job")
 	}
+	if spec.Rollouts == nil {
+		if _, err := w.Write(encoded); err != nil {
+			return err
+		}
+		return w.emit(w.next)
+	}
 	if _, err := w.Write(append(encoded[:len(encoded)-len(noRollouts)], '[')); err != nil {
 		return err
 	}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -14,9 +14,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/failure"
+	"github.com/sapphirehatch/sapphirehatch/internal/intake"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
 )
 
@@ -67,59 +69,118 @@
 	return NewClient(w.dial, settings.DefaultTiming(), &marks{}).WithOptions(Options{RequestID: "X-Request-Id", AllowCloseDelimited: true})
 }
 
-// Bytes that go on until the client closes must cost no more than a bounded amount of
-// memory, and must not look like an answer.
-func TestAnswersWithoutEndAreCut(t *testing.T) {
+// noCounter counts no events.
+type noCounter struct{}
+
+func (noCounter) Event(string) {}
+
+// account returns an account of a budget of a number of bytes.
+func account(bytes int64) (*intake.Account, *intake.Budget) {
+	limits := intake.LimitsOf(0, 0)
+	limits.Bytes = bytes
+	gate := intake.New(limits, nil, noCounter{}, logr.Discard())
+	return gate.NewAccount(), gate.Budget()
+}
+
+// forEndlessAnswers runs a test with each endless answer, with and without an account to which
+// the answer is charged.
+func forEndlessAnswers(t *testing.T, run func(t *testing.T, ctx context.Context, begin, repeat string, limit int64)) {
 	for name, tc := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { run(t, t.Context(), tc.begin, tc.repeat, tc.limit) })
+		})
+		t.Run(name+" on an account", func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var taken atomic.Int64
-				w := &fakeUpstream{serve: endless(tc.begin, tc.repeat, 0, &taken)}
-				client := newLenientClient(w)
-				defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
-				defer client.pool.closeIdle()
-				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-				defer cancel()
-				req, resp := post()
-				err := client.Do(ctx, target, req, resp)
-				if e := failure.As(err); err == nil || e.Outcome != failure.Unknown || ctx.Err() != nil {
-					t.Errorf("got %v, want an error with an unknown outcome before the deadline", err)
-				}
-				if n := taken.Load(); n > tc.limit {
-					t.Errorf("the client took %d bytes, want at most %d", n, tc.limit)
+				a, budget := account(1 << 30)
+				run(t, intake.WithAccount(t.Context(), a), tc.begin, tc.repeat, tc.limit)
+				a.Close()
+				if used := budget.Used(); used != 0 {
+					t.Errorf("%d bytes are still reserved", used)
 				}
 			})
 		})
 	}
 }
 
-// One byte a second keeps an exchange within its timeout for progress; its deadline
-// ends it all the same.
-func TestAnswersOfOneByteASecondEndAtTheDeadline(t *testing.T) {
-	for name, tc := range endlessAnswers {
+// An answer for which there is no memory must end the exchange as one that may have run, and be
+// read no further.
+func TestAnswerAboveTheBudget(t *testing.T) {
+	const budgetBytes = 4 << 20
+	for name, begin := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 50000000\r\n\r\n",
+		"body":   endlessAnswers["body"].begin,
+		"chunks": endlessAnswers["chunks"].begin,
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var taken atomic.Int64
-				w := &fakeUpstream{serve: endless(tc.begin, tc.repeat, time.Second, &taken)}
+				w := &fakeUpstream{serve: endless(begin, endlessAnswers["chunks"].repeat, 0, &taken)}
 				client := newLenientClient(w)
-				defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
+				defer time.Sleep(2 * time.Second)
 				defer client.pool.closeIdle()
-				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-				defer cancel()
+				a, budget := account(budgetBytes)
 				req, resp := post()
-				began := time.Now()
-				err := client.Do(ctx, target, req, resp)
-				if took := time.Since(began); took > 20*time.Second {
-					t.Errorf("the exchange took %s, want at most its 20 s", took)
+				err := client.Do(intake.WithAccount(t.Context(), a), target, req, resp)
+				if e := failure.As(err); err == nil || e.Kind != failure.Overloaded || e.Outcome != failure.Unknown {
+					t.Errorf("got %v, want that there is no memory", err)
+				}
+				if n := taken.Load(); n > budgetBytes {
+					t.Errorf("the client took %d bytes", n)
 				}
-				if err == nil {
-					t.Error("an answer without end counts as whole")
+				a.Close()
+				if used := budget.Used(); used != 0 {
+					t.Errorf("%d bytes are still reserved", used)
 				}
 			})
 		})
 	}
 }
 
+// Bytes that go on until the client closes must cost no more than a bounded amount of
+// memory, and must not look like an answer.
+func TestAnswersWithoutEndAreCut(t *testing.T) {
+	forEndlessAnswers(t, func(t *testing.T, ctx context.Context, begin, repeat string, limit int64) {
+		var taken atomic.Int64
+		w := &fakeUpstream{serve: endless(begin, repeat, 0, &taken)}
+		client := newLenientClient(w)
+		defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
+		defer client.pool.closeIdle()
+		ctx, cancel := context.WithTimeout(ctx, time.Minute)
+		defer cancel()
+		req, resp := post()
+		err := client.Do(ctx, target, req, resp)
+		if e := failure.As(err); err == nil || e.Outcome != failure.Unknown || ctx.Err() != nil {
+			t.Errorf("got %v, want an error with an unknown outcome before the deadline", err)
+		}
+		if n := taken.Load(); n > limit {
+			t.Errorf("the client took %d bytes, want at most %d", n, limit)
+		}
+	})
+}
+
+// One byte a second keeps an exchange within its timeout for progress; its deadline
+// ends it all the same.
+func TestAnswersOfOneByteASecondEndAtTheDeadline(t *testing.T) {
+	forEndlessAnswers(t, func(t *testing.T, ctx context.Context, begin, repeat string, _ int64) {
+		var taken atomic.Int64
+		w := &fakeUpstream{serve: endless(begin, repeat, time.Second, &taken)}
+		client := newLenientClient(w)
+		defer time.Sleep(2 * time.Second) // the upstream notices that the connection is closed
+		defer client.pool.closeIdle()
+		ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+		defer cancel()
+		req, resp := post()
+		began := time.Now()
+		err := client.Do(ctx, target, req, resp)
+		if took := time.Since(began); took > 20*time.Second {
+			t.Errorf("the exchange took %s, want at most its 20 s", took)
+		}
+		if err == nil {
+			t.Error("an answer without end counts as whole")
+		}
+	})
+}
+
 // Bytes after a whole answer, at once or late, never become a part of the answer to the
 // next request.
 func TestBytesAfterAnAnswerBelongToNoRequest(t *testing.T) {
