--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -22,7 +22,7 @@
 	connectionBytes   = headerBufferBytes + 16<<10
 	// softLimitPercent is the part of the memory that is the soft limit of the Go runtime. The
 	// rest is for the program text (15 MB) and what the runtime does not count.
-	softLimitPercent = 75
+	softLimitPercent = 70
 	// headerBufferBytes is the size of the buffer for the request line and the headers of a
 	// request. Operators allow 16,384 bytes of headers.
 	headerBufferBytes = 24 << 10
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -47,7 +47,7 @@
 	// Callers must not reach it. Empty, the default, takes no calls, and makes none.
 	PeerAddress string `ini:"peer_address" validate:"omitempty,ipport,nefield=CallerAddress"`
 	// MemoryMB is the memory of the host in units of 1,048,576 bytes, from which the limits of
-	// RowsLimits and the soft memory limit of the Go runtime (75 %) are computed. The default
+	// RowsLimits and the soft memory limit of the Go runtime (70 %) are computed. The default
 	// 0 sets no soft limit and computes the others for 4,096.
 	MemoryMB float64 `ini:"memory_mb" validate:"gte=0,lte=16777216"`
 	// MaxFDs is the number of descriptors that the host may open, of which clients get a
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,7 @@
 	// Region is the name of a group of failure domains. Optional.
 	Region string `ini:"region"`
 	// MemoryMB is the memory of the host in units of 1,048,576 bytes. What callers may make
-	// the host hold and the soft memory limit of the Go runtime (75 %) are computed from it.
+	// the host hold and the soft memory limit of the Go runtime (70 %) are computed from it.
 	// The default 0 sets no soft limit and computes the others for 4,096.
 	MemoryMB float64 `ini:"memory_mb" validate:"gte=0,lte=16777216"`
 	// MaxFDs is the number of descriptors that the host may open, of which callers'
