--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		restartRequired := next.Host != current.Host || next.Platform != current.Platform || next.Timing != current.Timing || next.Swap != current.Swap ||
-			!reflect.DeepEqual(next.Control, current.Control)
+			next.Limits != current.Limits || !reflect.DeepEqual(next.Control, current.Control)
 		log.Info("settings reloaded", "level", next.Log.Level, "others_wait_for_restart", restartRequired)
 	}
 }
