--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -164,7 +164,7 @@
 			QuarantineTerm: 10 * time.Minute,
 		},
 		Control: RowsControl{Window: 5 * time.Second, ReportLate: 10 * time.Second},
-		Limits: RowsLimits{StallTimeout: intake.DefaultStallTimeout, MinBodyRate: intake.DefaultMinBodyRate, WriteTimeout: intake.DefaultWriteTimeout},
+		Limits:  RowsLimits{StallTimeout: intake.DefaultStallTimeout, MinBodyRate: intake.DefaultMinBodyRate, WriteTimeout: intake.DefaultWriteTimeout},
 	}
 }
 
