job: log how long a complete text waited for its scoring call

Cause: the backlog of scoring calls was taken for slow generation, since no line told the wait. Measured: go test of internal/job passes.

--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -26,17 +26,19 @@
 		return
 	}
 	failures := 0
+	complete := time.Now()
 	gate := r.m.scoringGateFor(*task.rollout.Score)
 	if !gate.acquire(r.ctx, acceptedMS) {
 		return
 	}
 	defer gate.release()
+	waited := time.Since(complete)
 	for r.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, scoreTimeout)
 		answer, err := r.m.scorer.Score(ctx, *task.rollout.Score)
 		cancel()
 		if err == nil {
-			r.log.Info("rollout scored", "rollout", task.rollout.ID, "call", task.rollout.Score.ID, "events", len(events), "failures", failures)
+			r.log.Info("rollout scored", "rollout", task.rollout.ID, "call", task.rollout.Score.ID, "events", len(events), "failures", failures, "waited", waited)
 			r.finish(task, completed(events, answer.Signature, task.rollout.Score.ID))
 			return
 		}
