timeline: a column for the time of scoring

Cause: the wait for a scoring call counted as generation, which hid a backlog of 7 s. Change: "rollout scored" logs how long a complete text waited and how long its score took; the timeline shows it. Measured: go test of internal/timeline, command and job passes.

--- a/internal/command/timeline.go
+++ b/internal/command/timeline.go
@@ -42,15 +42,15 @@
 
 func printTimeline(w io.Writer, steps []timeline.Step) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "accepted\tmodel\tstep\trollouts\tjob\ttook\twaiting\tlost\tgenerating\twriting\tread\trefused\tmoved\towners\trollout")
+	_, _ = fmt.Fprintln(table, "accepted\tmodel\tstep\trollouts\tjob\ttook\twaiting\tlost\tgenerating\tscoring\twriting\tread\trefused\tmoved\towners\trollout")
 	short := func(d time.Duration) string { return fmt.Sprintf("%.2fs", d.Seconds()) }
 	for _, s := range steps {
 		took := "open"
 		if !s.Ended.IsZero() {
 			took = short(s.Ended.Sub(s.Accepted))
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.Accepted.UTC().Format("15:04:05.000"), s.Model, s.Number,
-			s.Rollouts, s.Job, took, short(s.Waiting), short(s.Lost), short(s.Generating), short(s.Writing), short(s.Read), s.Refusals, s.Moves, s.Owners, s.Rollout)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.Accepted.UTC().Format("15:04:05.000"), s.Model, s.Number,
+			s.Rollouts, s.Job, took, short(s.Waiting), short(s.Lost), short(s.Generating), short(s.Scoring), short(s.Writing), short(s.Read), s.Refusals, s.Moves, s.Owners, s.Rollout)
 	}
 	return table.Flush()
 }
--- a/internal/job/score.go
+++ b/internal/job/score.go
@@ -38,7 +38,7 @@
 		answer, err := r.m.scorer.Score(ctx, *task.rollout.Score)
 		cancel()
 		if err == nil {
-			r.log.Info("rollout scored", "rollout", task.rollout.ID, "call", task.rollout.Score.ID, "events", len(events), "failures", failures, "waited", waited)
+			r.log.Info("rollout scored", "rollout", task.rollout.ID, "call", task.rollout.Score.ID, "events", len(events), "failures", failures, "waited", waited, "took", time.Since(complete))
 			r.finish(task, completed(events, answer.Signature, task.rollout.Score.ID))
 			return
 		}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -30,10 +30,11 @@
 	// Rollout is the one that decides: its result was listed last before the end.
 	Rollout string
 	// Waiting is the time in which that rollout had no engine. Lost is the time of its
-	// attempts that yielded no event, and Generating that of the others. Writing is the
-	// time from its score to its listing; without a score it is a part of Generating. Read
-	// is the time from there to the job's end.
-	Waiting, Lost, Generating, Writing, Read time.Duration
+	// attempts that yielded no event, and Generating that of the others. Scoring is the
+	// time from the complete text to its score, and Writing that from there to its listing;
+	// without a score both are a part of Generating. Read is the time from there to the
+	// job's end.
+	Waiting, Lost, Generating, Scoring, Writing, Read time.Duration
 	// Refusals is the number of its attempts that engines refused, and Moves that of
 	// those that ended early.
 	Refusals, Moves int
@@ -49,6 +50,7 @@
 type rollout struct {
 	attempts        []attempt
 	scored, listed  time.Time
+	scoring         time.Duration
 	refusals, moves int
 }
 
@@ -130,8 +132,10 @@
 		r.end(l.at, false)
 	case "rollout scored":
 		r := j.rollout(id)
+		// Hosts of earlier versions don't say how long the score took.
+		r.scoring, _ = time.ParseDuration(l.fields["took"])
 		r.scored = l.at
-		r.end(l.at, true)
+		r.end(l.at.Add(-r.scoring), true)
 	case "results listed":
 		for id := range strings.SplitSeq(l.fields["rollouts"], ",") {
 			if r := j.rollout(id); r.listed.IsZero() {
@@ -176,7 +180,7 @@
 		free = a.ended
 	}
 	if !last.scored.IsZero() {
-		s.Writing = last.listed.Sub(last.scored)
+		s.Scoring, s.Writing = last.scoring, last.listed.Sub(last.scored)
 	}
 	if !s.Ended.IsZero() {
 		s.Read = s.Ended.Sub(last.listed)
