scaling: faults found in review

Cause: the first plan of a host whose list of replicas was incomplete gave replicas back; a pool of a failure domain that is gone stopped all increases; a boot time above 56 s caused repeats; a lowered max was exceeded by repeats; spot replicas that were given back counted as reclaimed. Change: scaling_delay (10 s) after the start of a host for services without a stored state; pools of failure domains without a price are forgotten; the wait of a repeat is at least the boot time; repeats keep max.

--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -79,6 +80,10 @@
 	// StoreClock returns the last known time of the store clock and the time at which it
 	// was requested; both are zero if not known.
 	StoreClock func() (time.Duration, time.Time)
+	// StartDelay is the time after the start of the host in which nothing is ordered for a
+	// service without a stored state. When hosts and replicas start together, replicas
+	// register one after the other, and an order by the first few would give the others back.
+	StartDelay time.Duration
 	// Events records metrics; it may be nil.
 	Events *telemetry.Recorder
 	Log    logr.Logger
@@ -93,6 +98,9 @@
 type Controller struct {
 	Config
 
+	// startedAt is when the host started.
+	startedAt time.Time
+
 	mu sync.Mutex
 	// fence is the fencing token under which states was read; zero if it must be read.
 	fence uint64
@@ -117,7 +125,7 @@
 
 // NewController returns a controller. Call Run to start it.
 func NewController(c Config) *Controller {
-	controller := &Controller{Config: c, known: map[string]bool{}, unknown: map[string]bool{}}
+	controller := &Controller{Config: c, startedAt: time.Now(), known: map[string]bool{}, unknown: map[string]bool{}}
 	if c.Events == nil {
 		return controller
 	}
@@ -249,6 +257,9 @@
 	state := c.states[service.Name]
 	if state == nil {
 		state = &State{}
+		if left := c.StartDelay - time.Since(c.startedAt); left > 0 {
+			state.AdoptUntil = in.now + left
+		}
 		c.states[service.Name] = state
 	}
 	c.changed = true
@@ -345,6 +356,10 @@
 		if state != nil && !slices.Contains(slices.Collect(maps.Values(state.Pools)), nil) {
 			state.Resume()
 			c.states[name] = state
+			// A failure domain that another holder has seen exists, also while it is lost.
+			for pool := range state.Pools {
+				c.known[strings.TrimSuffix(strings.TrimSuffix(pool, suffixSpot), suffixRegular)] = true
+			}
 		}
 	}
 	c.Log.Info("replica orders taken over", "fence", fence, "services", len(c.states), "row_version", c.version)
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -1,6 +1,7 @@
 package scaling
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -27,11 +28,6 @@
 	// maxIdleWait is how long a decrease waits for a moment at which as many replicas are
 	// idle as it takes away. With a steady load each replica always has some work.
 	maxIdleWait = 20 * time.Second
-	// adoptionTime is the time after the first observation of a service in which nothing is
-	// ordered if a failure domain has no replica then. When hosts and replicas start together,
-	// replicas register one after the other, and an order by the first few would give the
-	// others back.
-	adoptionTime = 10 * time.Second
 	// settleTime is how long a replica may be missing before it counts: lost ones come back
 	// by themselves after some seconds.
 	settleTime = 4 * time.Second
@@ -77,7 +73,7 @@
 
 // Observation is the input of a plan.
 type Observation struct {
-	// Demand is the number of rollouts and requests that want a slot now.
+	// Demand is the number of slots that rollouts and requests want now.
 	Demand int
 	// Slots is the number of slots of a replica; zero if not known.
 	Slots int
@@ -101,13 +97,6 @@
 	return n
 }
 
-// inAllDomains reports whether each failure domain has a replica that takes requests.
-func (o Observation) inAllDomains(limits *routes.Scaling) bool {
-	return !slices.ContainsFunc(limits.Domains(), func(domain string) bool {
-		return o.Pools[Pool{Domain: domain}].Ready+o.Pools[Pool{Domain: domain, Spot: true}].Ready == 0
-	})
-}
-
 // Reason says why an order is given.
 type Reason string
 
@@ -153,10 +142,8 @@
 func (s *State) Plan(now time.Duration, limits *routes.Scaling, seen Observation) Decision {
 	if s.Pools == nil {
 		s.Pools = map[string]*PoolState{}
-		if !seen.inAllDomains(limits) {
-			s.AdoptUntil = now + adoptionTime
-		}
 	}
+	s.forgetPools(limits)
 	s.observe(now, seen.Demand)
 	if s.Hold > 0 && now-s.HoldSetAt > calmAfter {
 		s.Hold, s.HoldSetAt = s.Hold/2, now
@@ -207,6 +194,9 @@
 			p = &PoolState{Target: count.Ready, Confirmed: count.Ready, SeenAt: now}
 			s.Pools[pool.String()] = p
 		}
+		if count.Leaving == 0 && now-p.LoweredAt >= minKeep {
+			p.LoweredBy = 0
+		}
 		switch {
 		case p.leaving(pool, count, now) > 0:
 			reclaimed += max(0, p.Target-count.Ready)
@@ -239,10 +229,16 @@
 	if !pool.Spot {
 		return 0
 	}
-	if p.LoweredAt > 0 && now-p.LoweredAt < minKeep {
-		return max(0, count.Leaving-p.LoweredBy)
+	return max(0, count.Leaving-p.LoweredBy)
+}
+
+// forgetPools deletes the state of the pools in failure domains that the limits don't name.
+func (s *State) forgetPools(limits *routes.Scaling) {
+	named := map[string]bool{}
+	for _, pool := range pools(limits) {
+		named[pool.String()] = true
 	}
-	return count.Leaving
+	maps.DeleteFunc(s.Pools, func(name string, _ *PoolState) bool { return !named[name] })
 }
 
 // blocked reports whether no more replicas of the pool may be ordered yet.
@@ -287,12 +283,13 @@
 		p, ready := s.pool(pool), seen.Pools[pool].Ready
 		if p.Pending {
 			if now >= p.RetryAt {
-				d.Orders = append(d.Orders, s.give(now, pool, p.Target, NoAnswer))
+				d.Orders = append(d.Orders, s.give(now, pool, s.withinMax(pool, limits, ready), NoAnswer))
 			}
 			continue
 		}
 		since := max(p.DifferentSince, p.OrderedAt)
-		if p.DifferentSince == 0 || p.blocked(now) || now-since <= wait(limits.BootTime+settleTime, p.Repeats, maxRepeatWait) {
+		settled := limits.BootTime + settleTime
+		if p.DifferentSince == 0 || p.blocked(now) || now-since <= wait(settled, p.Repeats, max(settled, maxRepeatWait)) {
 			continue
 		}
 		surplus := ready - p.Target
@@ -302,11 +299,22 @@
 		if surplus > 0 && p.RaisedAt > 0 && now-p.RaisedAt < minKeep {
 			d.ReturnedEarly += surplus
 		}
+		if surplus > 0 {
+			p.LoweredAt, p.LoweredBy = now, surplus
+		}
 		p.Repeats++
-		d.Orders = append(d.Orders, s.give(now, pool, p.Target, Different))
+		d.Orders = append(d.Orders, s.give(now, pool, s.withinMax(pool, limits, ready), Different))
 	}
 }
 
+// withinMax returns the target of a pool without what exceeds Max and doesn't run: Max may
+// have become less since the order.
+func (s *State) withinMax(pool Pool, limits *routes.Scaling, ready int) int {
+	target := s.pool(pool).Target
+	other := s.pool(Pool{Domain: pool.Domain, Spot: !pool.Spot})
+	return min(target, max(ready, limits.Max-other.Target, 0))
+}
+
 // give records an order and returns it.
 func (s *State) give(now time.Duration, pool Pool, replicas int, reason Reason) PlannedOrder {
 	p := s.pool(pool)
--- a/internal/scaling/state.go
+++ b/internal/scaling/state.go
@@ -79,8 +79,8 @@
 type State struct {
 	// Pools is indexed by Pool.String.
 	Pools map[string]*PoolState `json:"pools"`
-	// AdoptUntil is the time before which nothing is ordered; zero if the first observation
-	// showed replicas in all failure domains.
+	// AdoptUntil is the time before which nothing is ordered, because replicas that run may
+	// not be known yet.
 	AdoptUntil time.Duration `json:"adopt_until,omitempty"`
 	// Peaks holds the demand of the last maxHold and peakWindow, oldest first.
 	Peaks []peak `json:"peaks"`
--- a/internal/settings/rows.go
+++ b/internal/settings/rows.go
@@ -119,6 +119,10 @@
 	// FencingEnforced is true if the control API refuses calls with a lower fencing
 	// token than one already seen. Default false.
 	FencingEnforced bool `ini:"fencing_enforced"`
+	// ScalingDelay is the time after the start of the host in which it orders no replicas
+	// of a service for which none were ordered before. It must be longer than replicas take
+	// to register. Default 10s.
+	ScalingDelay time.Duration `ini:"scaling_delay" validate:"gte=0"`
 }
 
 // Has reports whether the hosts perform a duty.
@@ -163,7 +167,7 @@
 
 			QuarantineTerm: 10 * time.Minute,
 		},
-		Control: RowsControl{Window: 5 * time.Second, ReportLate: 10 * time.Second},
+		Control: RowsControl{Window: 5 * time.Second, ReportLate: 10 * time.Second, ScalingDelay: 10 * time.Second},
 		Limits:  RowsLimits{StallTimeout: intake.DefaultStallTimeout, MinBodyRate: intake.DefaultMinBodyRate, WriteTimeout: intake.DefaultWriteTimeout},
 	}
 }
