callerapi: answer 504 instead of 503 unless the request was not run

Cause: WriteError used the status of the kind. An answer of an upstream without room in the budget has kind overloaded and outcome unknown, and was answered 503, which promises that the request was not run.

Measured: the new case of TestErrorsHaveKindAndOutcome got 503 before and 504 after the change.

--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -50,7 +50,7 @@
 		e = &unknown
 	}
 	resp.ResetBody()
-	resp.SetStatusCode(e.Status())
+	resp.SetStatusCode(statusOf(e))
 	resp.Header.Set(entryapi.HeaderOutcome, string(e.Outcome))
 	if e.RetryAfter > 0 {
 		resp.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
@@ -59,6 +59,16 @@
 	resp.SetBody(encodeError(e))
 }
 
+// statusOf returns the status of an error. 429 and 503 promise that the request was not run,
+// so an error with another outcome gets 504 instead of them.
+func statusOf(e *failure.Error) int {
+	status := e.Status()
+	if e.Outcome != failure.NotRun && (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests) {
+		return fasthttp.StatusGatewayTimeout
+	}
+	return status
+}
+
 // encodeError returns the JSON of an error, or a generic error if e cannot be encoded.
 func encodeError(e *failure.Error) []byte {
 	body, err := json.Marshal(e)
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -27,6 +27,13 @@
 	broken := func(context.Context, membership.Upstream, *fasthttp.Request, *fasthttp.Response) error {
 		return failure.New(failure.UpstreamFailed, failure.Unknown, "reset")
 	}
+	// The answer of the upstream does not fit into the budget. 503 would promise that the request was not run.
+	answerTooLarge := func(context.Context, membership.Upstream, *fasthttp.Request, *fasthttp.Response) error {
+		return failure.New(failure.Overloaded, failure.Unknown, "no memory for the answer")
+	}
+	noMemory := func(context.Context, membership.Upstream, *fasthttp.Request, *fasthttp.Response) error {
+		return failure.New(failure.Overloaded, failure.NotRun, "no memory for the answer")
+	}
 	tests := []struct {
 		name, method, path, body string
 		headers                  []string
@@ -48,6 +55,8 @@
 		{name: "unknown model", method: "POST", path: engineapi.PathChat, body: `{"model":"x","messages":[{"role":"user"}]}`, kind: failure.NotFound, outcome: failure.NotRun, status: 404},
 		{name: "unreachable", method: "POST", path: "/bookings", do: unreachable, kind: failure.UpstreamUnreachable, outcome: failure.NotRun, status: 502},
 		{name: "broken booking", method: "POST", path: "/bookings", do: broken, kind: failure.UpstreamFailed, outcome: failure.Unknown, status: 502},
+		{name: "no memory for an answer", method: "POST", path: "/bookings", do: answerTooLarge, kind: failure.Overloaded, outcome: failure.Unknown, status: 504},
+		{name: "no memory before the request", method: "POST", path: "/bookings", do: noMemory, kind: failure.Overloaded, outcome: failure.NotRun, status: 503},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
