intake: end a stalled body after one time limit

Cause: ReadGrowing read again after every error, to tell the end of a body from an end within a chunk. After a stall the second read waited for stall_timeout once more.

Change: the second read is made after io.EOF only.

Measured: TestNoReadAfterAStall counted 2 reads that ran into the time limit before and 1 after the change.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -364,3 +365,31 @@
 		t.Error(e)
 	}
 }
+
+// stalledBody is a body that has n bytes and then stalls.
+type stalledBody struct {
+	n     int
+	after int
+}
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if b.n == 0 {
+		b.after++
+		return 0, os.ErrDeadlineExceeded
+	}
+	n := min(b.n, len(p))
+	b.n -= n
+	return n, nil
+}
+
+// A body that stalls must end after one time limit. Another read would wait for a second one.
+func TestNoReadAfterAStall(t *testing.T) {
+	t.Parallel()
+	body := &stalledBody{n: 10}
+	if _, err := ReadGrowing(body, nil, testBody); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %v, want a time limit", err)
+	}
+	if body.after != 1 {
+		t.Errorf("%d reads ran into the time limit, want 1", body.after)
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -139,15 +139,15 @@
 		if err == nil {
 			continue
 		}
+		if !errors.Is(err, io.EOF) {
+			return nil, err
+		}
 		// The library returns io.EOF also for a body that ends within a chunk. The next read
 		// then has another error.
-		if _, again := body.Read(nil); errors.Is(err, io.EOF) && !errors.Is(again, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
-		if errors.Is(err, io.EOF) {
-			return buffer, nil
+		if _, again := body.Read(nil); !errors.Is(again, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
 		}
-		return nil, err
+		return buffer, nil
 	}
 }
 
