command: check rows configurations for errors and differences

Cause: hosts apply a configuration with a missing service, an unknown route kind, a hidden route or contradictory limits without a word, and an operator could not see beforehand what a new version changes.

Hosts decode and apply configurations as before.

--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -55,7 +55,8 @@
 
 // configCheckCommand validates a document without calling a host.
 type configCheckCommand struct {
-	File string `arg:"" help:"The document." type:"existingfile"`
+	File    string `arg:"" help:"The document." type:"existingfile"`
+	Against string `help:"The JSON configuration in force: also print what differs from it." type:"existingfile"`
 }
 
 // Run prints one line for each problem. It returns an error if there is any.
@@ -64,8 +65,16 @@
 	if err != nil {
 		return err
 	}
+	var inForce []byte
+	if c.Against != "" {
+		if inForce, err = readDocument(c.Against); err != nil {
+			return err
+		}
+	}
 	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
-		err = checkRowsConfig(out, text)
+		err = checkRowsConfig(out, text, inForce)
+	} else if c.Against != "" {
+		return failure.New(failure.InvalidDocument, "", "--against applies to JSON configurations only")
 	} else if _, err = deployment.Parse(text); err != nil {
 		printProblems(out, deployment.AsProblems(err))
 	}
@@ -77,13 +86,17 @@
 }
 
 // checkRowsConfig checks the configuration of a platform with a row store, which begins
-// with a brace, unlike a deployment document. It prints the problems.
-func checkRowsConfig(out *streams, text []byte) error {
-	problems, err := platform.CheckConfig(text)
+// with a brace, unlike a deployment document. It prints the problems, and what differs
+// from inForce, the configuration in force, if that is not nil.
+func checkRowsConfig(out *streams, text, inForce []byte) error {
+	problems, differences, err := platform.CheckOffline(text, inForce)
 	if err != nil {
 		_, _ = fmt.Fprintln(out.Err, err)
 		return err
 	}
+	for _, difference := range differences {
+		_, _ = fmt.Fprintln(out.Out, difference)
+	}
 	for _, problem := range problems {
 		_, _ = fmt.Fprintln(out.Err, problem)
 	}
--- a/internal/command/config_test.go
+++ b/internal/command/config_test.go
@@ -29,3 +29,16 @@
 		}
 	}
 }
+
+// The exit status must tell a script that the version is too low.
+func TestConfigCheckAgainst(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(`{"version":1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var printed bytes.Buffer
+	err := (&configCheckCommand{File: path, Against: path}).Run(&streams{Out: &printed, Err: &printed})
+	if err == nil || printed.String() != "version 1 is not higher than version 1 in force\n" {
+		t.Errorf("%v, printed %q", err, printed.String())
+	}
+}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -8,6 +8,9 @@
 
 const mebibyte = 1 << 20
 
+// MaxHeaderBytes is the size of the largest request line with headers that hosts read.
+const MaxHeaderBytes = headerBufferBytes
+
 const (
 	// defaultMemoryMB is the memory by which limits are computed if the settings name none.
 	// It is above what clients within the limits of a host without that setting use.
