--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -198,7 +198,7 @@
 			p.LoweredBy = 0
 		}
 		switch {
-		case p.leaving(pool, count, now) > 0:
+		case p.leaving(pool, count) > 0:
 			reclaimed += max(0, p.Target-count.Ready)
 			if p.Pending {
 				p.expectLate(p.Target, now)
@@ -225,7 +225,7 @@
 
 // leaving returns the number of replicas that are being reclaimed. Replicas that a recent
 // order gave back leave, too, and don't count.
-func (p *PoolState) leaving(pool Pool, count Count, now time.Duration) int {
+func (p *PoolState) leaving(pool Pool, count Count) int {
 	if !pool.Spot {
 		return 0
 	}
@@ -259,7 +259,7 @@
 		if p.blocked(now) || p.missing(count) {
 			a.counts[pool] = min(p.Target, count.Ready)
 		}
-		if p.leaving(pool, count, now) > 0 {
+		if p.leaving(pool, count) > 0 {
 			a.counts[pool] = 0
 		}
 		// More run than were ordered last while a late order is in effect.
