--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -33,11 +33,11 @@
 		limit -= b.total / 8
 	}
 	if b.background != nil {
-		limit -= min(b.background(), b.total/2)
+		limit -= min(b.background(), b.JobShare())
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.used+n > limit && (n > smallBytes || b.used+n > b.total-b.total/2) {
+	if b.used+n > limit && (n > smallBytes || b.used+n > b.total-b.JobShare()) {
 		return false
 	}
 	b.used += n
@@ -75,5 +75,8 @@
 	return b.used
 }
 
+// JobShare returns the bytes that accepted jobs may take: half of the budget.
+func (b *Budget) JobShare() int64 { return b.total / 2 }
+
 // Total returns the size of the budget in bytes.
 func (b *Budget) Total() int64 { return b.total }
