intake, routes: the field's terms in comments and messages

Cause: comments spoke of time limits where the code sets deadlines, and a message named a field of the operator's format. Change: deadline; unknown kind. Measured: go test of internal/routes, internal/intake, internal/scaling and the configuration tests of platform passes.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -20,7 +20,7 @@
 	// piece waits longer than slowWait, may be ended for the benefit of others.
 	slowBodyRate = 256 << 10
 	slowWait     = time.Second
-	// rearmInterval is how often the time limit of a body is moved while it arrives.
+	// rearmInterval is how often the deadline of a body is moved while it arrives.
 	rearmInterval = 100 * time.Millisecond
 	// After a refusal, up to lingerBytes of the request are read for lingerTime, since
 	// closing the connection before would destroy the refusal at the client.
@@ -49,7 +49,7 @@
 	phaseAnswer
 )
 
-// Conn is a connection of a client. Its time limits depend on its phase.
+// Conn is a connection of a client. Its deadlines depend on its phase.
 type Conn struct {
 	net.Conn
 	listener *Listener
@@ -69,9 +69,9 @@
 
 	// The fields below are used by the goroutine that serves the connection.
 
-	// headerTimed is true once the time limit of the header is set.
+	// headerTimed is true once the deadline of the header is set.
 	headerTimed bool
-	// armed is when the time limit of the body was last moved.
+	// armed is when the deadline of the body was last moved.
 	armed time.Time
 	// maxMoved is the largest number of bytes that are read for the body.
 	maxMoved int64
@@ -80,8 +80,8 @@
 	readErr error
 
 	deadlineMu sync.Mutex
-	// writeDeadline is the time limit that the server has set for writes, and writeArmed when
-	// the time limit of writing was last moved.
+	// writeDeadline is the deadline that the server has set for writes, and writeArmed when
+	// the deadline of writing was last moved.
 	writeDeadline, writeArmed time.Time
 }
 
@@ -101,7 +101,7 @@
 	return sys.SyscallConn()
 }
 
-// SetReadDeadline sets the time limit of reading. The HTTP library calls it before it waits
+// SetReadDeadline sets the deadline of reading. The HTTP library calls it before it waits
 // for a request and before it reads the header; the limits of the configuration replace its
 // own there.
 func (c *Conn) SetReadDeadline(t time.Time) error {
@@ -124,7 +124,7 @@
 	return errors.Join(c.Conn.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// SetWriteDeadline sets the time limit of writing, which is in addition to Limits.WriteTimeout.
+// SetWriteDeadline sets the deadline of writing, which is in addition to Limits.WriteTimeout.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
@@ -154,7 +154,7 @@
 	return n, err
 }
 
-// armBody moves the time limit of the body.
+// armBody moves the deadline of the body.
 func (c *Conn) armBody() error {
 	now := time.Now()
 	if now.Sub(c.armed) < rearmInterval {
@@ -204,7 +204,7 @@
 	}
 }
 
-// armWrite moves the time limit of writing, unless it was moved within a tenth of it.
+// armWrite moves the deadline of writing, unless it was moved within a tenth of it.
 func (c *Conn) armWrite(now time.Time) error {
 	timeout := c.listener.gate.limits.WriteTimeout
 	c.deadlineMu.Lock()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -382,14 +382,14 @@
 	return n, nil
 }
 
-// A body that stalls must end after one time limit. Another read would wait for a second one.
+// A body that stalls must end after one deadline. Another read would wait for a second one.
 func TestNoReadAfterAStall(t *testing.T) {
 	t.Parallel()
 	body := &stalledBody{n: 10}
 	if _, err := ReadGrowing(body, nil, testBody); !errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("got %v, want a time limit", err)
+		t.Errorf("got %v, want a deadline", err)
 	}
 	if body.after != 1 {
-		t.Errorf("%d reads ran into the time limit, want 1", body.after)
+		t.Errorf("%d reads ran into the deadline, want 1", body.after)
 	}
 }
--- a/internal/routes/check.go
+++ b/internal/routes/check.go
@@ -49,7 +49,7 @@
 		}
 		names[route.Name] = true
 		if kind, unknown := d.UnknownKinds[i]; unknown {
-			report("route %q: unknown route_kind %q", route.Name, kind)
+			report("route %q: unknown kind %q", route.Name, kind)
 		}
 		checkRoute(route, services, func(format string, args ...any) {
 			report("route %q: %s", route.Name, fmt.Sprintf(format, args...))
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -42,7 +42,7 @@
 	retryWait    = 500 * time.Millisecond
 	maxRetryWait = 4 * time.Second
 	// sendingTime is the time after which an order that was given out counts as not sent.
-	// It exceeds the time limit of a call.
+	// It exceeds the deadline of a call.
 	sendingTime = 2 * time.Second
 	// maxLateness is how long after its call an order without an answer may be executed.
 	maxLateness = 30 * time.Second
