--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -59,14 +59,14 @@
 	resp.SetBody(encodeError(e))
 }
 
-// statusOf returns the status of an error. 429 and 503 promise that the request was not run,
-// so an error with another outcome gets 504 instead of them.
+// statusOf returns the status of an error. A request whose answer did not fit into memory has
+// run or may have run, so it gets 504. Other errors keep the status of their kind, beside
+// which the outcome header says what is known.
 func statusOf(e *failure.Error) int {
-	status := e.Status()
-	if e.Outcome != failure.NotRun && (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests) {
+	if e.Kind == failure.Overloaded && e.Outcome != failure.NotRun {
 		return fasthttp.StatusGatewayTimeout
 	}
-	return status
+	return e.Status()
 }
 
 // encodeError returns the JSON of an error, or a generic error if e cannot be encoded.
