gateway: no usage timer for requests that are not counted

Cause: each attempt made a timer for usage, also without a control API and on public routes. Change: the timer exists only for a request of a team while usage is counted; a comment of the planner is wrapped. Measured: go test of internal/gateway, internal/usage and the usage tests of platform passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -290,13 +290,16 @@
 		defer timer.Stop()
 		hedge = timer.C
 	}
-	counting := f.usageTimer()
-	defer counting.Stop()
+	var counting <-chan time.Time
+	if timer := f.usageTimer(); timer != nil {
+		defer timer.Stop()
+		counting = timer.C
+	}
 	for {
 		select {
 		case result := <-f.results:
 			return f.handleResult(ctx, result)
-		case <-counting.C:
+		case <-counting:
 			f.count(f.firstBegun())
 			continue
 		case <-hedge:
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -29,12 +29,12 @@
 	return first
 }
 
-// usageTimer returns a timer that fires when the request counts as running.
+// usageTimer returns a timer that fires when the request counts as running; nil if it is not
+// counted, or was counted already.
 func (f *forwardCall) usageTimer() *time.Timer {
-	if first := f.firstBegun(); !f.counted && !first.IsZero() {
-		return time.NewTimer(time.Until(first.Add(usageDelay)))
+	first := f.firstBegun()
+	if f.usage == nil || f.call.Team == "" || f.counted || first.IsZero() {
+		return nil
 	}
-	timer := time.NewTimer(usageDelay)
-	timer.Stop()
-	return timer
+	return time.NewTimer(time.Until(first.Add(usageDelay)))
 }
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -249,8 +249,8 @@
 func (p *PoolState) missing(count Count) bool { return p.Repeats > 0 && count.Ready < p.Target }
 
 // current returns the replicas that can be counted on: those that were ordered, and those
-// that run where no more can be had for now or replicas are missing for long. Spot replicas of a failure domain are reclaimed together, so
-// none of them counts once some leave.
+// that run where no more can be had for now or replicas are missing for long. Spot replicas
+// of a failure domain are reclaimed together, so none of them counts once some leave.
 func (s *State) current(now time.Duration, limits *routes.Scaling, seen Observation) *allocation {
 	a := newAllocation(limits)
 	for _, pool := range pools(limits) {
