--- a/review/lab-2/host.go
+++ b/review/lab-2/host.go
@@ -172,3 +172,26 @@
 	}
 	return nil
 }
+
+// smallHosts is the number of hosts of a case, and usualMemory the memory of their machines on
+// sheet rogkappe-drift.
+const (
+	smallHosts  = 3
+	usualMemory = 304
+)
+
+// startSmall starts hosts with replicas of a model and of a plain service.
+func startSmall(rec *record, s *store, memoryMB, events int, pace, appTime time.Duration) (*cluster, error) {
+	c, err := newCluster(rec, s, smallHosts, memoryMB)
+	if err != nil {
+		return c, err
+	}
+	for i := range 3 {
+		(&replica{id: fmt.Sprintf("engine-%d", i+1), service: "llm", model: modelName, slots: 8, events: events, pace: pace, store: s, ledger: c.ledger}).start()
+	}
+	for i := range 4 {
+		(&replica{id: fmt.Sprintf("app-%d", i+1), service: "app", slots: 6, pace: appTime, store: s, ledger: c.ledger}).start()
+	}
+	s.put("op", "config", manifest(1))
+	return c, c.start()
+}
--- a/review/lab-2/late_text.go
+++ b/review/lab-2/late_text.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -18,40 +17,6 @@
 	lateBy = 3 * time.Second
 )
 
-// owner reads the host that the store names as the owner of a batch submission.
-func (s *store) owner(id string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var owner struct {
-		Host string `json:"host"`
-	}
-	_ = json.Unmarshal(s.rows[rowID{"jobs", id, "owner"}].Value, &owner)
-	return owner.Host
-}
-
-// smallHosts is the number of hosts of a case, and usualMemory the memory of their machines on
-// sheet rogkappe-drift.
-const (
-	smallHosts  = 3
-	usualMemory = 304
-)
-
-// startSmall starts hosts with replicas of a model and of a plain service.
-func startSmall(rec *record, s *store, memoryMB, events int, pace, appTime time.Duration) (*cluster, error) {
-	c, err := newCluster(rec, s, smallHosts, memoryMB)
-	if err != nil {
-		return c, err
-	}
-	for i := range 3 {
-		(&replica{id: fmt.Sprintf("engine-%d", i+1), service: "llm", model: modelName, slots: 8, events: events, pace: pace, store: s, ledger: c.ledger}).start()
-	}
-	for i := range 4 {
-		(&replica{id: fmt.Sprintf("app-%d", i+1), service: "app", slots: 6, pace: appTime, store: s, ledger: c.ledger}).start()
-	}
-	s.put("op", "config", manifest(1))
-	return c, c.start()
-}
-
 // lateText loses the answer of one write, which is done 3 s later, and then kills the owner of a
 // batch submission, and the next owner.
 func lateText(rec *record, trouble bool) (bool, error) {
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -251,3 +251,14 @@
 		}
 	}
 }
+
+// owner reads the host that the store names as the owner of a batch submission.
+func (s *store) owner(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var owner struct {
+		Host string `json:"host"`
+	}
+	_ = json.Unmarshal(s.rows[rowID{"jobs", id, "owner"}].Value, &owner)
+	return owner.Host
+}
