job: rows of saved text of two runs are told apart by their versions

Cause: a row of text is named by its first event. A save demands the version of the owner row, which stays the same from one save to the next, so a save without an answer could be executed after later ones and put a shorter row back. The next owner left out what followed the gap, and wrote its rows behind it, among those of the first run that were still there. Whoever read the text next joined all rows that fitted by their numbers.

Fix: a row whose version is lower than that of a row before it in its text is left out. The store takes versions from one counter, a run writes the rows of a text in the order of their events, and only the owner can write, so in the rows of one text versions rise with the events. A row that does not follow is of an earlier run, or precedes a late save. That needs no new field, so it holds for rows of earlier builds, too. Texts carried over from an earlier job are read by the same function, and the product's own adapter runs the same package. "job restored" logs the number of rows that were left out.

--- a/internal/job/cluster_test.go
+++ b/internal/job/cluster_test.go
@@ -61,6 +61,10 @@
 	slots map[string]chan struct{}
 	// teams counts the started attempts by team.
 	teams map[string]int
+	// tagged engines add the number of the run to the data of each event, and record the
+	// prior events of each run in priors, by rollout ID.
+	tagged bool
+	priors map[string][][]Event
 	// tokens is the number of tokens of an engine's running rollouts, and mostTokens the
 	// largest number that any engine had.
 	tokens     map[string]int
@@ -68,7 +72,7 @@
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, gone: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, teams: map[string]int{}, tokens: map[string]int{}, length: testEvents}
+	return &fakeEngines{version: map[string]uint64{}, silent: map[string]bool{}, gone: map[string]bool{}, failing: map[string]bool{}, cutAt: map[string]int{}, crashes: map[string]int{}, starts: map[string][]int{}, refuse: map[string]int{}, slow: map[string]int{}, teams: map[string]int{}, priors: map[string][][]Event{}, tokens: map[string]int{}, length: testEvents}
 }
 
 func (e *fakeEngines) Generate(ctx context.Context, target fleet.Replica, request GenerateRequest, sink func(Event) error) error {
@@ -81,6 +85,7 @@
 	silent, failing := e.silent[target.ID], e.failing[target.ID]
 	cut, length, interval := e.cutAt[request.Rollout.ID], e.length, eventInterval*time.Duration(max(1, e.slow[target.ID]))
 	delete(e.cutAt, request.Rollout.ID)
+	tag := ""
 	refused := e.refuse[target.ID] > 0 || request.Version != 0 && request.Version != version
 	if refused {
 		e.refuse[target.ID]--
@@ -88,6 +93,10 @@
 		e.runs = append(e.runs, fmt.Sprintf("%s %d", request.Rollout.ID, request.ResumeAfter))
 		e.teams[request.Team]++
 		e.starts[request.Rollout.ID] = append(e.starts[request.Rollout.ID], request.ResumeAfter)
+		if e.tagged {
+			tag = runTag(len(e.priors[request.Rollout.ID]))
+			e.priors[request.Rollout.ID] = append(e.priors[request.Rollout.ID], request.PriorEvents)
+		}
 	}
 	crash := !refused && e.crashes[request.Rollout.ID] > 0
 	if crash {
@@ -135,7 +144,7 @@
 		if gone {
 			return failure.New(failure.IncompleteAnswer, failure.Unknown, "engine %s is gone", target.ID)
 		}
-		if err := sink(Event{Data: eventText(request.Rollout.ID, n) + e.pad[request.Rollout.ID], Version: version}); err != nil {
+		if err := sink(Event{Data: eventText(request.Rollout.ID, n) + tag + e.pad[request.Rollout.ID], Version: version}); err != nil {
 			return err
 		}
 		if n == cut {
--- a/internal/job/prepare.go
+++ b/internal/job/prepare.go
@@ -77,7 +77,8 @@
 		r.log.Info("results newer than the owner row are ignored", "listed", r.owner.Listed, "found", len(*results), "version", r.version)
 		*results = (*results)[:r.owner.Listed]
 	}
-	if *texts, err = r.m.store.readTexts(r.ctx, r.id); err != nil {
+	var stale int
+	if *texts, stale, err = r.m.store.readTexts(r.ctx, r.id); err != nil {
 		return err
 	}
 	r.m.recordTeam(r.id, r.owner, spec.Team)
@@ -88,7 +89,7 @@
 	r.spec, r.owner.Team = spec, spec.Team
 	r.mu.Unlock()
 	r.specBytes.Store(spec.size())
-	r.log.Info("job restored", "rollouts", len(spec.Rollouts), "listed", len(*results), "texts", len(*texts))
+	r.log.Info("job restored", "rollouts", len(spec.Rollouts), "listed", len(*results), "texts", len(*texts), "stale_text_rows", stale)
 	return nil
 }
 
@@ -108,7 +109,7 @@
 		other.collectCarried(wanted, texts, results)
 	}
 	for _, id := range stored {
-		found, err := r.m.store.readTexts(ctx, id)
+		found, _, err := r.m.store.readTexts(ctx, id)
 		if err != nil {
 			r.log.Info("cannot read texts of an earlier job", "earlier", id, "error", err.Error())
 			return texts, results
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -391,37 +391,60 @@
 	events []Event
 	// restarts and failures are as in textRow.
 	restarts, failures int
+	// rows is the number of its rows, and version that of the newest one.
+	rows    int
+	version uint64
 }
 
-// readTexts returns the saved texts of a job by rollout ID. Rows of dropped texts, which may
-// follow those of their successor, are left out.
-func (s store) readTexts(ctx context.Context, job string) (map[string]savedText, error) {
+// readTexts returns the saved texts of a job by rollout ID, and the number of rows that
+// belong to none of them.
+func (s store) readTexts(ctx context.Context, job string) (map[string]savedText, int, error) {
 	rows, err := follow.ReadPart(ctx, s.rows, tableTexts, job)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	texts := map[string]savedText{}
+	texts, stale := joinTexts(rows)
+	return texts, stale, nil
+}
+
+// joinTexts joins rows of tableTexts, in the order of their keys, to texts by rollout ID.
+// stale is the number of rows that it leaves out.
+//
+// Each save demands the version of the owner row, so only the owner's saves are executed, but
+// one without an answer may be executed after later ones and put a shorter row back. Nothing
+// after such a gap belongs to the text: the next run continues before it, and its rows come to
+// stand among those of the run before. A run writes the rows of a text in the order of their
+// events, so a row with a lower version than one before it is of an earlier run, or follows a
+// gap. Rows of a text that was dropped are left out, too.
+func joinTexts(rows []platform.VersionedRow) (texts map[string]savedText, stale int) {
+	texts = map[string]savedText{}
 	for _, row := range rows {
 		cut := strings.LastIndexByte(row.Key, '/')
 		var saved textRow
 		if cut < 0 || json.Unmarshal(row.Value, &saved) != nil {
+			stale++
 			continue
 		}
 		t := texts[row.Key[:cut]]
 		if saved.Restarts > t.restarts {
-			t.events, t.restarts = nil, saved.Restarts
+			stale += t.rows
+			t.events, t.restarts, t.rows, t.version = nil, saved.Restarts, 0, 0
 		}
-		// A row that was written late may overlap its successor or leave a gap after it.
-		// The events after a gap are left out.
-		if saved.Restarts == t.restarts && saved.From <= len(t.events) {
+		if saved.Restarts == t.restarts && saved.From <= len(t.events) && row.Version > t.version {
+			// The rows of one run overlap after a late save of more events than the save that
+			// was acknowledged.
 			if end := saved.From + len(saved.Events); end > len(t.events) {
 				t.events = append(t.events, saved.Events[len(t.events)-saved.From:]...)
 			}
+			t.version = row.Version
+			t.rows++
+		} else {
+			stale++
 		}
 		t.failures = max(t.failures, saved.Failures)
 		texts[row.Key[:cut]] = t
 	}
-	return texts, nil
+	return texts, stale
 }
 
 // end writes the row that marks a job as ended.
--- a/internal/platform/platformtest/rows.go
+++ b/internal/platform/platformtest/rows.go
@@ -186,8 +186,10 @@
 	// lostAnswers is the number of transactions to come whose answers are lost.
 	lostAnswers int
 	// delayedWrites is the number of transactions to come whose answers are lost and
-	// that are executed after writeDelay.
+	// that are executed after writeDelay. If delayedTable is not empty, only those that
+	// write to it count.
 	delayedWrites int
+	delayedTable  string
 	writeDelay    time.Duration
 	// slow holds the delays of the transactions that write to a table.
 	slow map[string]slowness
@@ -230,10 +232,24 @@
 
 // DelayWrites makes the next n transactions fail with StoreInDoubt and executes
 // them after a delay, if their checks pass then.
-func (c *RowsClient) DelayWrites(n int, after time.Duration) {
+func (c *RowsClient) DelayWrites(n int, after time.Duration) { c.DelayWritesTo("", n, after) }
+
+// DelayWritesTo is like DelayWrites, for the next n transactions that write to a table.
+func (c *RowsClient) DelayWritesTo(table string, n int, after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.delayedWrites, c.writeDelay = n, after
+	c.delayedTable, c.delayedWrites, c.writeDelay = table, n, after
+}
+
+// takeDelay reports whether a transaction is one of those that DelayWrites delays, and for
+// how long. The caller holds mu.
+func (c *RowsClient) takeDelay(tx platform.RowTransaction) (time.Duration, bool) {
+	writesToTable := func(w platform.RowWrite) bool { return w.Table == c.delayedTable }
+	if c.delayedWrites == 0 || c.delayedTable != "" && !slices.ContainsFunc(tx.Writes, writesToTable) {
+		return 0, false
+	}
+	c.delayedWrites--
+	return c.writeDelay, true
 }
 
 // slowness is how long transactions take until they are executed, and their answers from
@@ -390,9 +406,9 @@
 		return platform.CommitResult{}, err
 	}
 	c.mu.Lock()
-	lose, late, after := c.lostAnswers > 0, c.delayedWrites > 0, c.writeDelay
+	lose := c.lostAnswers > 0
 	c.lostAnswers = max(0, c.lostAnswers-1)
-	c.delayedWrites = max(0, c.delayedWrites-1)
+	after, late := c.takeDelay(tx)
 	var slow slowness
 	for _, write := range tx.Writes {
 		if s, ok := c.slow[write.Table]; ok {
