rollout: a rollout of a lost host is not said not to have run

The dispatcher ran it again on its own host, on the progress of the first run. By reading, not run: a hedge that starts from that progress has the text of one run and the token count and versions of two.

Cause: rollouts of a silent host ended with the error of the last poll. The poll was not run, the rollouts were.

Evidence: TestRolloutOfALostHostMayHaveRun red before ("peer_unreachable: cannot connect", outcome not run, 5 tokens reported), green after; the tests of the package three times.

--- a/internal/rollout/remote.go
+++ b/internal/rollout/remote.go
@@ -107,7 +107,7 @@
 		}
 		r.requeueSettled(call.Settled)
 		if time.Since(lastReply) > peerSilenceTimeout {
-			r.failAll(failure.As(err))
+			r.failAll(failure.Wrap(err, failure.PeerUnreachable, failure.Unknown, "host %s does not answer polls", r.hostID))
 		}
 		time.Sleep(jobPollWait)
 	}
--- a/internal/rollout/remote_test.go
+++ b/internal/rollout/remote_test.go
@@ -77,6 +77,39 @@
 	return nil, failure.New(failure.PeerUnreachable, failure.Unknown, "no answer")
 }
 
+// losingPeers accepts a job and reports its progress once; then the host can't be reached.
+type losingPeers struct{ polls int }
+
+func (p *losingPeers) Call(_ context.Context, _, method string, payload []byte) ([]byte, error) {
+	if method == methodStart {
+		return nil, nil
+	}
+	var call pollCall
+	if err := decodeMsgpack(payload, &call); err != nil {
+		return nil, err
+	}
+	if p.polls++; p.polls > 1 || len(call.Running) == 0 {
+		return nil, failure.New(failure.PeerUnreachable, failure.NotRun, "cannot connect")
+	}
+	return encodeMsgpack(pollReply{Running: []remoteProgress{{RequestID: call.Running[0], EngineID: "e0", Ran: time.Second, Tokens: 5, Text: "abcde"}}})
+}
+
+// Guards against a rollout that ran on a host which was lost, and was said not to have run since
+// the last poll could not be sent: it ran again here, on top of the progress that the other host
+// had reported.
+func TestRolloutOfALostHostMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &remoteRunner{hostID: "b", peers: &losingPeers{}, jobs: map[string]*remoteJob{}}
+		p := &progress{}
+		end := r.run(t.Context(), job{Chat: engineapi.ChatRequest{RequestID: "r"}}, p)
+		if end.Err == nil || end.Err.Kind != failure.PeerUnreachable || end.Err.Outcome != failure.Unknown {
+			t.Errorf("the rollout, of which %d tokens were reported, ended with %v, want outcome unknown", p.snapshot().Tokens, end.Err)
+		}
+		// The polls end.
+		time.Sleep(2 * jobPollWait)
+	})
+}
+
 // Jobs whose start call failed leave no state behind.
 func TestRefusedJobsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
