demo: hosts listen on ports that no outgoing connection can take

Cause: the addresses of hosts were taken from the system's ports for outgoing connections (32768 and above) and released, some time before their hosts listen. Until then any connection or listener of any process can get the port.

Fix: ports 5000 to 9999, beginning at random, each once in a process, as the tests choose theirs from ranges of their own.

The collision itself was met once and not provoked.

--- a/internal/demo/hosts.go
+++ b/internal/demo/hosts.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -35,7 +37,7 @@
 		s := settings.Default()
 		s.Host.ID = id
 		s.Host.FailureDomain = failureDomains[i%len(failureDomains)]
-		if err := chooseAddresses(&s.Host); err != nil {
+		if err := chooseAddresses(&s.Host.CallerAddress, &s.Host.AdminAddress, &s.Host.PeerAddress); err != nil {
 			return nil, err
 		}
 		s.Platform.Address = platformAddress
@@ -58,30 +60,49 @@
 	return hosts, nil
 }
 
-// chooseTCPAddresses sets each address to a different free loopback port.
-func chooseTCPAddresses(addresses ...*string) error {
+// Ports of hosts are below those that systems use for outgoing connections, of which one
+// could take a port before its host listens, and below those of the tests.
+const (
+	firstPort = 5000
+	portCount = 5000
+)
+
+// portsTried is the number of ports tried so far, from firstOffset on, which is random since
+// two demonstrations may run at once.
+var (
+	firstOffset = rand.Uint32N(portCount)
+	portsTried  atomic.Uint32
+)
+
+// chooseAddresses sets each address to a different loopback port that is free for TCP and UDP.
+func chooseAddresses(addresses ...*string) error {
 	for _, address := range addresses {
-		listener, err := net.Listen("tcp4", loopback)
+		var err error
+		for range portCount {
+			*address = fmt.Sprintf("127.0.0.1:%d", firstPort+(firstOffset+portsTried.Add(1))%portCount)
+			if err = checkFree(*address); err == nil {
+				break
+			}
+		}
 		if err != nil {
-			return failure.Wrap(err, failure.Internal, "", "no free TCP port on 127.0.0.1")
+			return failure.Wrap(err, failure.Internal, "", "no free port on 127.0.0.1")
 		}
-		*address = listener.Addr().String()
-		defer func() { _ = listener.Close() }()
 	}
 	return nil
 }
 
-func chooseAddresses(host *settings.Host) error {
-	if err := chooseTCPAddresses(&host.CallerAddress, &host.AdminAddress); err != nil {
+// checkFree returns an error if an address can't be listened on for TCP and UDP.
+func checkFree(address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
 		return err
 	}
-	conn, err := net.ListenPacket("udp4", loopback)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.ListenPacket("udp4", address)
 	if err != nil {
-		return failure.Wrap(err, failure.Internal, "", "no free UDP port on 127.0.0.1")
+		return err
 	}
-	host.PeerAddress = conn.LocalAddr().String()
-	_ = conn.Close()
-	return nil
+	return conn.Close()
 }
 
 // applyDocument applies the deployment document through a host's administration API.
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -95,7 +95,7 @@
 	s := settings.DefaultRows()
 	s.Host.ID, s.Host.FailureDomain = id, "local"
 	s.Platform = settings.RowsPlatform{Adapter: settings.AdapterRows, Address: endpoint.Address()}
-	if err := chooseTCPAddresses(&s.Host.CallerAddress, &s.Host.ReadyAddress, &s.Host.EntryAddress); err != nil {
+	if err := chooseAddresses(&s.Host.CallerAddress, &s.Host.ReadyAddress, &s.Host.EntryAddress); err != nil {
 		return err
 	}
 	j.endpoints, j.hosts = append(j.endpoints, endpoint), append(j.hosts, s)
