job: the number of stale text rows is derived; upstream: a plainer comment

Found in the read-through of the change. joinTexts counted the rows that it leaves out at each of three places; their number is that of all rows less those of the texts. No behaviour changes; the tests of the package pass.

--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -422,13 +422,11 @@
 		cut := strings.LastIndexByte(row.Key, '/')
 		var saved textRow
 		if cut < 0 || json.Unmarshal(row.Value, &saved) != nil {
-			stale++
 			continue
 		}
 		t := texts[row.Key[:cut]]
 		if saved.Restarts > t.restarts {
-			stale += t.rows
-			t.events, t.restarts, t.rows, t.version = nil, saved.Restarts, 0, 0
+			t = savedText{restarts: saved.Restarts, failures: t.failures}
 		}
 		if saved.Restarts == t.restarts && saved.From <= len(t.events) && row.Version > t.version {
 			// The rows of one run overlap after a late save of more events than the save that
@@ -438,12 +436,14 @@
 			}
 			t.version = row.Version
 			t.rows++
-		} else {
-			stale++
 		}
 		t.failures = max(t.failures, saved.Failures)
 		texts[row.Key[:cut]] = t
 	}
+	stale = len(rows)
+	for _, t := range texts {
+		stale -= t.rows
+	}
 	return texts, stale
 }
 
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -19,7 +19,7 @@
 	"github.com/sapphirehatch/sapphirehatch/internal/standin/rawanswer"
 )
 
-// exchangeTimeout is the time limit of the exchanges. A malformed answer is recognized by its
+// exchangeTimeout is the timeout of an exchange. A malformed answer is recognized by its
 // bytes, long before.
 const exchangeTimeout = 10 * time.Second
 
