ports: one choice of the ports of hosts for the demonstration and all tests

Found in the read-through: the demonstration's new choice of ports wrote again what scenario, platform, platform/soak and platform/untrusted each had: ports below those of outgoing connections, chosen in turn, checked by listening. internal/standin/ports has it once; each keeps its range. All now check TCP and UDP, as scenario did.

The ranges of scenario (15000 to 30999) and platform/untrusted (30000 to 30999) overlapped, though both may run at once; scenario's now end at 29799.

--- a/internal/demo/hosts.go
+++ b/internal/demo/hosts.go
@@ -4,20 +4,18 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sapphirehatch/sapphirehatch/internal/adminapi"
-	"github.com/sapphirehatch/sapphirehatch/internal/failure"
 	"github.com/sapphirehatch/sapphirehatch/internal/hostkeys"
 	"github.com/sapphirehatch/sapphirehatch/internal/jsonhttp"
 	"github.com/sapphirehatch/sapphirehatch/internal/settings"
+	"github.com/sapphirehatch/sapphirehatch/internal/standin/ports"
 )
 
 const (
@@ -60,51 +58,27 @@
 	return hosts, nil
 }
 
-// Ports of hosts are below those that systems use for outgoing connections, of which one
-// could take a port before its host listens, and below those of the tests.
+// hostPorts are below the ports of the tests. It begins at random, since two demonstrations may
+// run at once.
+var hostPorts = ports.NewRange(firstPort, portCount, rand.IntN(portCount))
+
 const (
 	firstPort = 5000
 	portCount = 5000
 )
 
-// portsTried is the number of ports tried so far, from firstOffset on, which is random since
-// two demonstrations may run at once.
-var (
-	firstOffset = rand.Uint32N(portCount)
-	portsTried  atomic.Uint32
-)
-
-// chooseAddresses sets each address to a different loopback port that is free for TCP and UDP.
+// chooseAddresses sets each address to a different free loopback port.
 func chooseAddresses(addresses ...*string) error {
 	for _, address := range addresses {
-		var err error
-		for range portCount {
-			*address = fmt.Sprintf("127.0.0.1:%d", firstPort+(firstOffset+portsTried.Add(1))%portCount)
-			if err = checkFree(*address); err == nil {
-				break
-			}
-		}
+		free, err := hostPorts.FreeAddress()
 		if err != nil {
-			return failure.Wrap(err, failure.Internal, "", "no free port on 127.0.0.1")
+			return err
 		}
+		*address = free
 	}
 	return nil
 }
 
-// checkFree returns an error if an address can't be listened on for TCP and UDP.
-func checkFree(address string) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = listener.Close() }()
-	conn, err := net.ListenPacket("udp4", address)
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
-
 // applyDocument applies the deployment document through a host's administration API.
 func applyDocument(ctx context.Context, admin, operatorSecret, text string) error {
 	client := operatorClient(operatorSecret)
--- a/scenario/cost_test.go
+++ b/scenario/cost_test.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/standin/ports"
 )
 
 // BenchmarkControlCost measures the control-plane overhead of a host that serves no
@@ -79,7 +81,7 @@
 	next := func() string {
 		for {
 			port++
-			if address := fmt.Sprintf("127.0.0.1:%d", port); canBind(address) {
+			if address := fmt.Sprintf("127.0.0.1:%d", port); ports.IsFree(address) {
 				return address
 			}
 		}
--- a/scenario/host_test.go
+++ b/scenario/host_test.go
@@ -4,58 +4,30 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"net"
 	"os"
-	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"gopkg.in/ini.v1"
+
+	"github.com/sapphirehatch/sapphirehatch/internal/standin/ports"
 )
 
-// Ports lie below the range that the system uses for outgoing connections. Each test
-// process takes its own range, by process id.
+// Each test process takes its own range of ports, by process id. They end below 30000, where those
+// of platform/untrusted begin.
 const (
 	firstPort   = 15000
 	portsPerRun = 400
-	portRuns    = 40
+	portRuns    = 37
 )
 
-var ports struct {
-	mu   sync.Mutex
-	next int
-}
+var hostPorts = ports.NewRange(firstPort+os.Getpid()%portRuns*portsPerRun, portsPerRun, 0)
 
 // freePort returns a 127.0.0.1:port that is free for TCP and UDP.
 func freePort(ts *testscript.TestScript) string {
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	base := firstPort + os.Getpid()%portRuns*portsPerRun
-	for range portsPerRun {
-		port := base + ports.next%portsPerRun
-		ports.next++
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if canBind(address) {
-			return address
-		}
-	}
-	ts.Fatalf("no free port in %d to %d", base, base+portsPerRun)
-	return ""
-}
-
-func canBind(address string) bool {
-	tcp, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer tcp.Close()
-	udp, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	_ = udp.Close()
-	return true
+	address, err := hostPorts.FreeAddress()
+	ts.Check(err)
+	return address
 }
 
 func cmdPorts(ts *testscript.TestScript, _ bool, args []string) {
