--- a/review/lab-3/host.go
+++ b/review/lab-3/host.go
@@ -36,6 +36,8 @@
 	mu sync.Mutex
 	// process is nil while none runs.
 	process *os.Process
+	// startedAt is when the process was started.
+	startedAt time.Time
 	// held is true while no process is to be started.
 	held bool
 	// overMemory is the number of processes that were killed for their memory, and peakMB the
@@ -117,7 +119,7 @@
 		return
 	}
 	m.mu.Lock()
-	m.process = cmd.Process
+	m.process, m.startedAt = cmd.Process, time.Now()
 	m.mu.Unlock()
 	m.lab.note("%s: process started", m.id)
 	ended := make(chan struct{})
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -46,6 +46,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(*lab) (int, error){
 	"takeover": takeover,
+	"failing":  failing,
 }
 
 func main() {
