review: case 12, a planned stop cuts off answers that callers read slowly

Cause: a request counts as in flight until its handler returns, and its answer is written after that.

--- a/review/lab-3/host.go
+++ b/review/lab-3/host.go
@@ -7,7 +7,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -198,18 +197,3 @@
 	}
 	<-m.done
 }
-
-// logged returns the lines of the host's log with a text.
-func (m *machine) logged(text string) []string {
-	all, err := os.ReadFile(filepath.Join(m.dir, "log"))
-	if err != nil {
-		return nil
-	}
-	var found []string
-	for line := range strings.Lines(string(all)) {
-		if strings.Contains(line, text) {
-			found = append(found, strings.TrimSpace(line))
-		}
-	}
-	return found
-}
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -47,6 +47,7 @@
 var cases = map[string]func(*lab) (int, error){
 	"takeover": takeover,
 	"failing":  failing,
+	"slowread": slowReaders,
 }
 
 func main() {
--- a/review/lab-3/trainer.go
+++ b/review/lab-3/trainer.go
@@ -93,7 +93,7 @@
 // says it.
 func (l *lab) listed(id string) int {
 	for _, m := range l.machines {
-		next, total := 0, -1
+		next := 0
 		for {
 			status, text, err := l.call(m, http.MethodGet, fmt.Sprintf("/sapphirehatch/lots/%s?after=%d", id, next), "", nil)
 			var page struct {
@@ -104,7 +104,7 @@
 			if err != nil || status != http.StatusOK || json.Unmarshal(text, &page) != nil {
 				break
 			}
-			if total = page.Total; len(page.Rows) == 0 || page.Next >= total {
+			if len(page.Rows) == 0 || page.Next >= page.Total {
 				return page.Next
 			}
 			next = page.Next
