--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of cases 11 to 15 start, after the build of the deploy file.
+# Builds what the scripts of cases 11 and 12 start, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/lab-3/host.go
+++ b/review/lab-3/host.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -20,12 +18,10 @@
 	hostFDs      = 8200
 	// restartDelay is the pause before a process that has ended is started again.
 	restartDelay = time.Second
-	// sampleInterval is the time between two looks at the memory of a process.
-	sampleInterval = 10 * time.Millisecond
 )
 
-// machine is one host with the process that runs on it. The platform kills a process that has
-// more than hostMemoryMB and starts each process again that has ended.
+// machine is one host with the process that runs on it. The platform starts each process again
+// that has ended.
 type machine struct {
 	lab  *lab
 	id   string
@@ -39,11 +35,7 @@
 	startedAt time.Time
 	// held is true while no process is to be started.
 	held bool
-	// overMemory is the number of processes that were killed for their memory, and peakMB the
-	// most that any process had.
-	overMemory int
-	peakMB     int
-	done       chan struct{}
+	done chan struct{}
 }
 
 // newMachine writes the settings of a host, with the keys of the deploy file's template.
@@ -121,54 +113,13 @@
 	m.process, m.startedAt = cmd.Process, time.Now()
 	m.mu.Unlock()
 	m.lab.note("%s: process started", m.id)
-	ended := make(chan struct{})
-	go m.watchMemory(cmd.Process, ended)
 	err = cmd.Wait()
-	close(ended)
 	m.mu.Lock()
 	m.process = nil
 	m.mu.Unlock()
 	m.lab.note("%s: process ended: %v", m.id, err)
 }
 
-// watchMemory kills a process that has more memory than its machine.
-func (m *machine) watchMemory(p *os.Process, ended <-chan struct{}) {
-	for {
-		select {
-		case <-ended:
-			return
-		case <-time.After(sampleInterval):
-		}
-		mb := residentMB(p.Pid)
-		m.mu.Lock()
-		m.peakMB = max(m.peakMB, mb)
-		m.mu.Unlock()
-		if mb > hostMemoryMB {
-			m.mu.Lock()
-			m.overMemory++
-			n := m.overMemory
-			m.mu.Unlock()
-			m.lab.note("%s: %d MB of memory, more than memory_mb = %d: the platform kills the process, for the %d. time", m.id, mb, hostMemoryMB, n)
-			_ = p.Kill()
-			return
-		}
-	}
-}
-
-// residentMB returns the resident memory of a process; zero if it has ended.
-func residentMB(pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	fields := bytes.Fields(text)
-	if err != nil || len(fields) < 2 {
-		return 0
-	}
-	pages, err := strconv.Atoi(string(fields[1]))
-	if err != nil {
-		return 0
-	}
-	return pages * os.Getpagesize() >> 20
-}
-
 // kill kills the process and keeps the machine without one for a time.
 func (m *machine) kill(down time.Duration) {
 	m.mu.Lock()
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -45,9 +46,9 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(*lab) (int, error){
-	"takeover": takeover,
 	"failing":  failing,
 	"slowread": slowReaders,
+	"deadly":   deadlyLeaving,
 }
 
 func main() {
@@ -125,7 +126,7 @@
 
 // startMachines starts a number of hosts and waits until they are ready.
 func (l *lab) startMachines(n int) error {
-	free := ports.NewRange(20000, 12000, os.Getpid()*37%12000)
+	free := ports.NewRange(20000, 12000, rand.IntN(12000))
 	for i := range n {
 		m, err := newMachine(l, fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("z%d", i+1), free)
 		if err != nil {
--- a/review/lab-3/trainer.go
+++ b/review/lab-3/trainer.go
@@ -88,27 +88,3 @@
 	}
 	return fmt.Errorf("batch submission %s isn't accepted", id)
 }
-
-// listed returns how many results of a batch submission the hosts list; -1 if none of them
-// says it.
-func (l *lab) listed(id string) int {
-	for _, m := range l.machines {
-		next := 0
-		for {
-			status, text, err := l.call(m, http.MethodGet, fmt.Sprintf("/sapphirehatch/lots/%s?after=%d", id, next), "", nil)
-			var page struct {
-				Total int               `json:"total"`
-				Next  int               `json:"next"`
-				Rows  []json.RawMessage `json:"results"`
-			}
-			if err != nil || status != http.StatusOK || json.Unmarshal(text, &page) != nil {
-				break
-			}
-			if len(page.Rows) == 0 || page.Next >= page.Total {
-				return page.Next
-			}
-			next = page.Next
-		}
-	}
-	return -1
-}
